Rename the package and the adapter to flaxgap

Ruled out: no decision changed; the text differs in the name only, and cargo fmt reordered what the shorter name moved. Conclusion: the same program under the project's name.

--- a/src/bin/chalkpaddle-simhost/main.rs
+++ b/src/bin/flaxgap-simhost/main.rs
@@ -4,8 +4,8 @@
 mod settings;
 mod wire;
 
-use chalkpaddle::Scheduler;
-use chalkpaddle::api::*;
+use flaxgap::Scheduler;
+use flaxgap::api::*;
 use settings::WireNotes;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -29,7 +29,7 @@
     match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("chalkpaddle-simhost: {problem}");
+            eprintln!("flaxgap-simhost: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/chalkpaddle-simhost/settings.rs
+++ b/src/bin/flaxgap-simhost/settings.rs
@@ -1,6 +1,6 @@
 //! The settings text of the wire, turned into the library's settings.
 
-use chalkpaddle::api::*;
+use flaxgap::api::*;
 use serde::Deserialize;
 
 /// What of the settings concerns the wire only.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! The same events give the same actions.
 //!
 //! ```
-//! use chalkpaddle::{Scheduler, api::*};
+//! use flaxgap::{Scheduler, api::*};
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
@@ -64,7 +64,7 @@
 //! ```
 
 #[cfg(test)]
-extern crate self as chalkpaddle;
+extern crate self as flaxgap;
 
 pub mod api;
 mod logic;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small builder that drives a scheduler through its public interface.
 #![allow(dead_code)]
 
-use chalkpaddle::Scheduler;
-use chalkpaddle::api::*;
+use flaxgap::Scheduler;
+use flaxgap::api::*;
 
 pub const SAFE: ClassId = ClassId(0);
 pub const KEYED: ClassId = ClassId(1);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,8 +1,8 @@
 //! Behaviour through failures and odd input.
 
 mod common;
-use chalkpaddle::api::*;
 use common::*;
+use flaxgap::api::*;
 
 #[test]
 fn a_node_without_connections_costs_few_attempts() {
@@ -45,7 +45,7 @@
     let asks = |actions: &[Action]| actions.iter().filter(|a| **a == Action::WatchNodes).count();
     let mut first = Vec::new();
     let list = Event::Nodes { kind: ListKind::Cached, nodes: vec![] };
-    let fresh = chalkpaddle::Scheduler::new(set.clone(), 7, 100.0);
+    let fresh = flaxgap::Scheduler::new(set.clone(), 7, 100.0);
     fresh.expect("settings that can be served").handle(100.0, &[list], &mut first);
     assert_eq!(asks(&first), 1, "at the start, though a cached list came");
     let mut rig = Rig::new(set);
@@ -118,7 +118,7 @@
     let wrong = |change: fn(&mut Settings)| {
         let mut set = settings();
         change(&mut set);
-        chalkpaddle::Scheduler::new(set, 1, 0.0).err().map(|e| e.field)
+        flaxgap::Scheduler::new(set, 1, 0.0).err().map(|e| e.field)
     };
     assert_eq!(wrong(|s| s.classes[1].deadline = 0.0).as_deref(), Some("classes[1].deadline"));
     assert_eq!(wrong(|s| s.plans[0].reserve = -1.0).as_deref(), Some("plans[0].reserve"));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,8 +1,8 @@
 //! The fair queue, the window and the order within a class.
 
 mod common;
-use chalkpaddle::api::*;
 use common::*;
+use flaxgap::api::*;
 
 /// A volume on a plan without a limit whose reserve is long used up.
 fn spare(id: u32, class: ClassId, volume: u64) -> Request {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The seven rules at their edges.
 
 mod common;
-use chalkpaddle::api::*;
 use common::*;
+use flaxgap::api::*;
 
 #[test]
 fn a_held_request_is_answered_before_its_own_deadline() {
@@ -218,7 +218,7 @@
             for rig in rigs.iter_mut().take(again as usize) {
                 let now = rig.now;
                 *rig = Rig::new(settings());
-                rig.scheduler = chalkpaddle::Scheduler::new(settings(), 9, now).expect("settings");
+                rig.scheduler = flaxgap::Scheduler::new(settings(), 9, now).expect("settings");
                 rig.now = now;
                 rig.list(ListKind::Cached, vec![node(N.0, 0)]);
             }
@@ -255,7 +255,7 @@
         let cold = NodeInfo { since: 100.0, ..node(N.0, 0) };
         let mut rig = Rig::new(set.clone());
         let seed = 0x9E37_79B9_7F4A_7C15u64.wrapping_mul(u64::from(host) + 1);
-        rig.scheduler = chalkpaddle::Scheduler::new(set.clone(), seed, 100.0).expect("settings");
+        rig.scheduler = flaxgap::Scheduler::new(set.clone(), seed, 100.0).expect("settings");
         let mut out = sent(&rig.list(ListKind::Cached, vec![cold]));
         for id in 0..(spans * 20.0) as u32 {
             out.extend(sent(&rig.ask(Request { remaining: 9.0, ..request(id, UNSAFE) })));
