--- a/src/bin/flaxgap-simhost/main.rs
+++ b/src/bin/flaxgap-simhost/main.rs
@@ -1,12 +1,11 @@
 //! The adapter for the simulator's wire: frames in, frames out, one scheduler for each instance.
 //! It decides nothing.
 
-mod settings;
 mod wire;
 
 use flaxgap::Scheduler;
 use flaxgap::api::*;
-use settings::WireNotes;
+use flaxgap::config::{self, WireNotes};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -101,7 +100,7 @@
     fn launch(&mut self, who: u32, clock: f64, reader: &mut Reader) -> Result<(), Bad> {
         let seed = reader.u64()?;
         let length = reader.u32()? as usize;
-        let (settings, notes) = settings::read(reader.take(length)?)?;
+        let (settings, notes) = config::read(reader.take(length)?).map_err(|e| e.to_string())?;
         let scheduler = Scheduler::new(settings, seed, clock).map_err(|e| e.to_string())?;
         let instance = Instance { scheduler, notes, events: Vec::new() };
         self.instances.insert(who, instance);
@@ -223,18 +222,8 @@
     })
 }
 
-/// The values that the library knows; others are skipped.
 fn report(names: &[String], values: &[f64]) -> Report {
-    let mut report = Report::default();
-    for (name, value) in names.iter().zip(values) {
-        match name.as_str() {
-            "q" => report.queue = Some(*value),
-            "busy" => report.busy = Some(*value),
-            "lat_ms" => report.latency = Some(value / 1000.0),
-            _ => {}
-        }
-    }
-    report
+    config::report(names.iter().map(String::as_str).zip(values.iter().copied()))
 }
 
 impl Instance {
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,363 @@
+//! What a head is told at its start: its configuration file, and the settings that it shares with the
+//! simulator's adapter. One reader serves both.
+
+use crate::api::*;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// A configuration that no head can start with; says which part is wrong.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[error("configuration {path}: {source}")]
+    Unreadable {
+        /// Where it was looked for.
+        path: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The text is not of the form expected.
+    #[error("{part}: {source}")]
+    Malformed {
+        /// `configuration` or `settings`.
+        part: &'static str,
+        /// What the parser said.
+        source: serde_json::Error,
+    },
+    /// A field holds a value that can't be served.
+    #[error("{field}: {problem}")]
+    Field {
+        /// The field's path.
+        field: String,
+        /// What is wrong with it.
+        problem: String,
+    },
+}
+
+fn field(field: impl Into<String>, problem: impl Into<String>) -> ConfigError {
+    ConfigError::Field { field: field.into(), problem: problem.into() }
+}
+
+/// The limits of the machine that a head runs on.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+}
+
+/// The configuration of one head.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed for random numbers.
+    pub seed: u64,
+    /// Limits of the machine.
+    pub limits: Limits,
+    /// The node list as this head had it last, in discovery's form.
+    pub known: Option<serde_json::Value>,
+    /// What the module is told.
+    pub settings: Settings,
+    /// What the wires need of the settings.
+    pub notes: WireNotes,
+}
+
+#[derive(Deserialize)]
+struct ConfigFile {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: Option<serde_json::Value>,
+    settings: Conf,
+}
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names.
+    pub fn load(path: &str) -> Result<Config, ConfigError> {
+        let text =
+            std::fs::read(path).map_err(|source| ConfigError::Unreadable { path: path.into(), source })?;
+        Config::parse(&text)
+    }
+
+    /// Reads a configuration's text.
+    pub fn parse(text: &[u8]) -> Result<Config, ConfigError> {
+        let file: ConfigFile = serde_json::from_slice(text)
+            .map_err(|source| ConfigError::Malformed { part: "configuration", source })?;
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| field("seed", e.to_string()))?;
+        let (settings, notes) = convert(file.settings)?;
+        let ConfigFile { name, listen, discovery, limits, known, .. } = file;
+        Ok(Config { name, listen, discovery, seed, limits, known, settings, notes })
+    }
+}
+
+/// What of the settings concerns the wires only.
+#[derive(Clone, Debug, Default)]
+pub struct WireNotes {
+    /// Names of the load report's values, in their order.
+    pub report_names: Vec<String>,
+    /// Names of the classes, by index.
+    pub class_names: Vec<String>,
+    /// Whether each class writes.
+    pub class_writes: Vec<bool>,
+    /// Names of the plans, by index.
+    pub plan_names: Vec<String>,
+    /// Names of the zones, by index.
+    pub zone_names: Vec<String>,
+    /// Seconds after which a connection that does not come up has failed.
+    pub connect_timeout: f64,
+    /// Seconds after which a node closes an idle connection at the latest.
+    pub conn_idle: f64,
+}
+
+#[derive(Deserialize)]
+struct Conf {
+    #[serde(default)]
+    zones: Vec<String>,
+    bounds: Bounds,
+    classes: Vec<ClassConf>,
+    domain: Domain,
+    guarantees: Guarantees,
+    membership_mode: String,
+    n_instances: u32,
+    period: f64,
+    report: ReportConf,
+    service_levels: Vec<Level>,
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default = "default_conn_idle")]
+    conn_idle: f64,
+    #[serde(default = "default_connect_timeout")]
+    connect_timeout: f64,
+    max_attempts: usize,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    second_copies: bool,
+}
+
+fn default_conn_idle() -> f64 {
+    15.0
+}
+
+fn default_connect_timeout() -> f64 {
+    0.25
+}
+
+#[derive(Deserialize)]
+struct ClassConf {
+    #[serde(default)]
+    name: String,
+    aim: f64,
+    deadline: f64,
+    #[serde(default)]
+    fifo_by_key: bool,
+    #[serde(default)]
+    group: String,
+    idempotency: String,
+    #[serde(default)]
+    late_worth: f64,
+    #[serde(default)]
+    repeat_window: f64,
+    worth: f64,
+}
+
+#[derive(Deserialize)]
+struct Domain {
+    #[serde(default)]
+    changes_data: Vec<bool>,
+    cold_units: f64,
+    idle_worth: f64,
+    #[serde(default)]
+    tells_elsewhere: bool,
+    unit_mean: f64,
+    units_top: f64,
+    #[serde(default)]
+    use_period: f64,
+    within_share: f64,
+}
+
+#[derive(Deserialize)]
+struct Guarantees {
+    #[serde(default)]
+    ask_every: f64,
+    budget_free: Option<f64>,
+    budget_share: Option<f64>,
+    budget_window: Option<f64>,
+    cold_from: f64,
+    fall: f64,
+    order_pause: Option<f64>,
+    warm_within: f64,
+    #[serde(default)]
+    tip_multiple: f64,
+}
+
+#[derive(Deserialize)]
+struct ReportConf {
+    #[serde(default)]
+    names: Vec<String>,
+    source: String,
+}
+
+#[derive(Deserialize)]
+struct Level {
+    #[serde(default)]
+    name: String,
+    base_rate: f64,
+    #[serde(default)]
+    cap_slack: f64,
+    #[serde(default)]
+    limit: f64,
+    #[serde(default)]
+    limit_burst: f64,
+    reserve: f64,
+    value_factor: f64,
+    weight: f64,
+}
+
+/// Reads the settings; the error names what is wrong.
+pub fn read(text: &[u8]) -> Result<(Settings, WireNotes), ConfigError> {
+    let conf =
+        serde_json::from_slice(text).map_err(|source| ConfigError::Malformed { part: "settings", source })?;
+    convert(conf)
+}
+
+fn convert(conf: Conf) -> Result<(Settings, WireNotes), ConfigError> {
+    let classes = conf.classes.iter().enumerate().map(|(i, c)| class(i, c)).collect::<Result<_, _>>()?;
+    let g = &conf.guarantees;
+    let budget = match (g.budget_free, g.budget_share, g.budget_window) {
+        (None, None, None) => None,
+        (free, share, Some(window)) => {
+            Some(Budget { free: free.unwrap_or(0.0), share: share.unwrap_or(0.0), window })
+        }
+        _ => return Err(field("settings.guarantees.budget_window", "is missing")),
+    };
+    let ask_every = match conf.membership_mode.as_str() {
+        "ask" => Some(g.ask_every),
+        "push" => None,
+        other => return Err(field("settings.membership_mode", format!("unknown mode {other:?}"))),
+    };
+    let settings = Settings {
+        classes,
+        plans: conf.service_levels.iter().map(plan).collect(),
+        mean_units: conf.domain.unit_mean,
+        most_units: conf.domain.units_top,
+        share_worth: conf.domain.within_share,
+        spare_worth: conf.domain.idle_worth,
+        hosts: conf.n_instances,
+        tick: conf.period,
+        max_attempts: conf.bounds.max_attempts,
+        second_copies: conf.bounds.second_copies,
+        cancel: conf.bounds.cancel,
+        probes: conf.bounds.probes,
+        reports_in_answers: conf.report.source == "answers",
+        use_period: conf.domain.use_period,
+        tells_elsewhere: conf.domain.tells_elsewhere,
+        ask_every,
+        cold: Cold {
+            units: conf.domain.cold_units,
+            span: g.fall,
+            from: g.cold_from,
+            warm_within: g.warm_within,
+            multiple: g.tip_multiple,
+        },
+        budget,
+        order_pause: g.order_pause.unwrap_or(0.0),
+        max_wait: if conf.bounds.retry_after { conf.bounds.max_retry_after } else { 0.0 },
+    };
+    settings.check().map_err(|e| field(format!("settings.{}", e.field), e.problem))?;
+    for (name, value) in
+        [("connect_timeout", conf.bounds.connect_timeout), ("conn_idle", conf.bounds.conn_idle)]
+    {
+        if !(value > 0.0 && value < 1e6) {
+            return Err(field(format!("settings.bounds.{name}"), "must be above zero"));
+        }
+    }
+    let classes = conf.classes.len();
+    let mut class_writes = conf.domain.changes_data;
+    class_writes.resize(classes, false);
+    let notes = WireNotes {
+        report_names: conf.report.names,
+        class_names: conf.classes.into_iter().map(|c| c.name).collect(),
+        class_writes,
+        plan_names: conf.service_levels.into_iter().map(|l| l.name).collect(),
+        zone_names: conf.zones,
+        connect_timeout: conf.bounds.connect_timeout,
+        conn_idle: conf.bounds.conn_idle,
+    };
+    Ok((settings, notes))
+}
+
+fn class(index: usize, c: &ClassConf) -> Result<Class, ConfigError> {
+    let group = match c.group.as_str() {
+        "all" | "" => RepeatGroup::All,
+        "zone" => RepeatGroup::Zone,
+        "cell" => RepeatGroup::Shard,
+        other => {
+            return Err(field(
+                format!("settings.classes[{index}].group"),
+                format!("unknown group {other:?}"),
+            ));
+        }
+    };
+    let repeat = match c.idempotency.as_str() {
+        "safe" => Repeat::Safe,
+        "keyed" => Repeat::Keyed { group, window: c.repeat_window },
+        "unsafe" => Repeat::Unsafe,
+        other => {
+            return Err(field(
+                format!("settings.classes[{index}].idempotency"),
+                format!("unknown kind {other:?}"),
+            ));
+        }
+    };
+    Ok(Class {
+        aim: c.aim,
+        deadline: c.deadline,
+        worth: c.worth,
+        late_worth: c.late_worth,
+        repeat,
+        in_order: c.fifo_by_key,
+    })
+}
+
+fn plan(l: &Level) -> Plan {
+    let limit = Limit { rate: l.limit, burst: l.limit_burst, slack: l.cap_slack };
+    Plan {
+        base_rate: l.base_rate,
+        reserve: l.reserve,
+        weight: l.weight,
+        value_factor: l.value_factor,
+        limit: (l.limit > 0.0).then_some(limit),
+    }
+}
+
+/// A load report out of names and values, as either wire names them; what the module does not know is
+/// skipped.
+pub fn report<'a>(values: impl IntoIterator<Item = (&'a str, f64)>) -> Report {
+    let mut report = Report::default();
+    for (name, value) in values {
+        match name {
+            "q" | "queue" => report.queue = Some(value),
+            "busy" | "util" => report.busy = Some(value),
+            "lat_ms" | "latency_ms" => report.latency = Some(value / 1000.0),
+            _ => {}
+        }
+    }
+    report
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,386 @@
+//! The core: one request's life round the decision module. It knows no wire.
+//!
+//! [`Dispatcher`] owns the one [`Scheduler`], its clock, its wake-ups and a mailbox for each request in
+//! hand. A front takes a [`Call`] out of its protocol and awaits [`Dispatcher::serve`]; a [`Transport`]
+//! carries attempts to nodes. Everything runs on one thread.
+
+use crate::Scheduler;
+use crate::api::*;
+use crate::counters::Counters;
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Past a deadline, how long the module's answer is still awaited before the head words one itself.
+const OVERDUE: Duration = Duration::from_millis(20);
+
+/// A monotonic clock whose figures are Unix time, read once at the start: what other machines say in
+/// Unix time (a node's last start) needs no conversion, and the figures never run backwards.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    anchor: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    /// A clock anchored now.
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        Clock { anchor: Instant::now(), unix }
+    }
+
+    /// Seconds of Unix time.
+    pub fn now(&self) -> f64 {
+        self.at(Instant::now())
+    }
+
+    /// The figure of an instant.
+    pub fn at(&self, instant: Instant) -> f64 {
+        self.unix + instant.saturating_duration_since(self.anchor).as_secs_f64()
+    }
+
+    /// The instant of a figure.
+    pub fn instant(&self, at: f64) -> Instant {
+        self.anchor + seconds(at - self.unix)
+    }
+}
+
+/// A span from a number of seconds: none if negative, at most a day.
+pub fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(if value > 0.0 { value.min(86_400.0) } else { 0.0 })
+}
+
+/// What an attempt does to the data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verb {
+    /// Reads it.
+    Read,
+    /// Writes it.
+    Write,
+}
+
+/// What goes to a node unchanged.
+#[derive(Clone, Debug)]
+pub struct Envelope {
+    /// Read or write.
+    pub verb: Verb,
+    /// The object's name, as nodes know it.
+    pub target: String,
+    /// The request's id among all heads, as the client words it.
+    pub id: Bytes,
+    /// The key by which nodes know a repeat.
+    pub repeat_key: Option<Bytes>,
+    /// The data of a write.
+    pub payload: Bytes,
+}
+
+/// A request as a front hands it over.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its class.
+    pub class: ClassId,
+    /// Its volume's plan.
+    pub plan: PlanId,
+    /// Its volume.
+    pub volume: VolumeId,
+    /// The data it is about.
+    pub extent: Option<ExtentId>,
+    /// The shard with the data, if it has one yet.
+    pub shard: Option<ShardId>,
+    /// Its size.
+    pub units: f64,
+    /// Hosts that the volume's requests come through.
+    pub hosts: u32,
+    /// Whether it is marked as a client's repeat.
+    pub repeat: bool,
+    /// When the client stops waiting.
+    pub deadline: Instant,
+    /// What goes to the node.
+    pub envelope: Rc<Envelope>,
+}
+
+/// How an attempt ended, and what came with it.
+#[derive(Debug)]
+pub struct Reply {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The body of a served request.
+    pub body: Bytes,
+    /// The meter's figure, in multiples of the plan's rate.
+    pub used: Option<f64>,
+    /// The node's load report.
+    pub report: Report,
+}
+
+impl Reply {
+    /// An attempt that brought nothing back.
+    pub fn empty(outcome: Outcome) -> Reply {
+        Reply { outcome, body: Bytes::new(), used: None, report: Report::default() }
+    }
+}
+
+/// Carries attempts to nodes.
+pub trait Transport {
+    /// One attempt. It ends by `until`, and dropping it calls it off: when the drop returns, nothing of
+    /// it can reach the node any more. It never sends twice.
+    fn send(&self, node: NodeId, envelope: &Envelope, until: Instant) -> impl Future<Output = Reply>;
+}
+
+/// The one final answer.
+#[derive(Debug)]
+pub enum Answer {
+    /// Served: the node's body.
+    Served(Bytes),
+    /// Turned away; trying again does no harm.
+    Refused {
+        /// Seconds after which a try makes sense; 0 where nothing is known.
+        wait: f64,
+    },
+    /// Failed; it may have run.
+    Failed,
+}
+
+/// The module's word on one request.
+enum Choice {
+    Send { attempt: usize, node: NodeId, abandon_at: f64 },
+    Cancel,
+    Refuse { wait: f64 },
+    Fail,
+}
+
+/// The module's mail for one request, and which attempt it takes to be out.
+struct Mailbox {
+    mail: mpsc::UnboundedSender<Choice>,
+    sends: usize,
+    out: Option<(usize, f64)>,
+}
+
+struct State {
+    scheduler: Scheduler,
+    mailboxes: HashMap<RequestId, Mailbox>,
+    wakes: BinaryHeap<Reverse<Instant>>,
+    next_id: u32,
+}
+
+/// Owner of the one scheduler: hands it events and delivers its choices.
+pub struct Dispatcher {
+    state: RefCell<State>,
+    clock: Clock,
+    woken: Notify,
+    counters: Rc<Counters>,
+}
+
+impl Dispatcher {
+    /// A dispatcher for a scheduler made with these settings.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        counters: Rc<Counters>,
+    ) -> Result<Rc<Dispatcher>, SettingsError> {
+        let scheduler = Scheduler::new(settings, seed, clock.now())?;
+        let (mailboxes, wakes) = (HashMap::new(), BinaryHeap::new());
+        let state = RefCell::new(State { scheduler, mailboxes, wakes, next_id: 0 });
+        Ok(Rc::new(Dispatcher { state, clock, woken: Notify::new(), counters }))
+    }
+
+    /// The clock that the module's figures are on.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Tells the module what happened, and delivers what it chooses.
+    pub fn tell(&self, events: &[Event]) {
+        let mut actions = Vec::new();
+        let state = &mut *self.state.borrow_mut();
+        state.scheduler.handle(self.clock.now(), events, &mut actions);
+        for action in actions {
+            let (request, choice) = match action {
+                Action::Send { request, node, abandon_at } => {
+                    let Some(mailbox) = state.mailboxes.get_mut(&request) else { continue };
+                    let attempt = mailbox.sends;
+                    mailbox.sends += 1;
+                    mailbox.out = Some((attempt, self.clock.now()));
+                    (request, Choice::Send { attempt, node, abandon_at })
+                }
+                Action::Cancel { request, .. } => (request, Choice::Cancel),
+                Action::Refuse { request, wait } => (request, Choice::Refuse { wait }),
+                Action::Fail { request } => (request, Choice::Fail),
+                Action::WakeUp { delay } => {
+                    let due = Instant::now() + seconds(delay);
+                    if state.wakes.peek().is_none_or(|Reverse(first)| due < *first) {
+                        self.woken.notify_one();
+                    }
+                    state.wakes.push(Reverse(due));
+                    continue;
+                }
+                // Discovery is watched from the start, and nodes of this wire may not be probed.
+                Action::WatchNodes | Action::Probe { .. } => continue,
+                Action::Log(text) => {
+                    log::info!("module: {text}");
+                    continue;
+                }
+            };
+            if let Some(mailbox) = state.mailboxes.get(&request) {
+                // The receiver lives as long as its entry here; nothing is lost.
+                let _ = mailbox.mail.send(choice);
+            }
+        }
+    }
+
+    /// Delivers the module's wake-ups; runs as long as the program.
+    pub async fn keep_time(&self) {
+        loop {
+            let next = self.state.borrow().wakes.peek().map(|Reverse(at)| *at);
+            match next {
+                Some(at) if at <= Instant::now() => {
+                    self.state.borrow_mut().wakes.pop();
+                    self.tell(&[Event::WakeUp]);
+                }
+                Some(at) => tokio::select! {
+                    () = sleep_until(at) => {}
+                    () = self.woken.notified() => {}
+                },
+                None => self.woken.notified().await,
+            }
+        }
+    }
+
+    /// One request's life, from its taking to its one final answer. Dropping it tells the module that
+    /// the client has gone.
+    pub async fn serve<T: Transport>(self: &Rc<Self>, transport: &T, call: Call) -> Answer {
+        let mut ticket = self.take(&call);
+        let last = call.deadline + OVERDUE;
+        let answer = loop {
+            let choice = match timeout_at(last, ticket.mail.recv()).await {
+                Ok(Some(choice)) => choice,
+                // Guards against a module that owes an answer: the client gets one in any case.
+                Ok(None) | Err(_) => {
+                    self.counters.overdue.add();
+                    log::error!("core: no choice by the deadline of request {}", ticket.id.0);
+                    return Answer::Failed;
+                }
+            };
+            match choice {
+                Choice::Send { attempt, node, abandon_at } => {
+                    self.counters.attempts.add();
+                    let until = self.clock.instant(abandon_at);
+                    // The mail comes first: an attempt called off before its first byte is never written.
+                    let ended = tokio::select! {
+                        biased;
+                        later = ticket.mail.recv() => Err(later),
+                        reply = transport.send(node, &call.envelope, until) => Ok(reply),
+                    };
+                    match ended {
+                        Ok(reply) => {
+                            let served = reply.outcome == Outcome::Ok;
+                            self.report(&ticket, attempt, &reply);
+                            if served {
+                                break Answer::Served(reply.body);
+                            }
+                        }
+                        Err(later) => {
+                            self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled));
+                            match later {
+                                Some(Choice::Refuse { wait }) => break Answer::Refused { wait },
+                                Some(Choice::Fail) => break Answer::Failed,
+                                _ => {}
+                            }
+                        }
+                    }
+                }
+                Choice::Cancel => {}
+                Choice::Refuse { wait } => break Answer::Refused { wait },
+                Choice::Fail => break Answer::Failed,
+            }
+        };
+        ticket.answered = true;
+        match answer {
+            Answer::Served(_) => self.counters.served.add(),
+            Answer::Refused { .. } => self.counters.refused.add(),
+            Answer::Failed => self.counters.failed.add(),
+        }
+        answer
+    }
+
+    fn take(self: &Rc<Self>, call: &Call) -> Ticket {
+        self.counters.taken.add();
+        let (mail, receiver) = mpsc::unbounded_channel();
+        let id = {
+            let state = &mut *self.state.borrow_mut();
+            let mut id = RequestId(state.next_id);
+            while state.mailboxes.contains_key(&id) {
+                id = RequestId(id.0.wrapping_add(1));
+            }
+            state.next_id = id.0.wrapping_add(1);
+            state.mailboxes.insert(id, Mailbox { mail, sends: 0, out: None });
+            id
+        };
+        let ticket = Ticket { dispatcher: self.clone(), id, mail: receiver, answered: false };
+        let remaining = call.deadline.saturating_duration_since(Instant::now()).as_secs_f64();
+        self.tell(&[Event::Request(Request {
+            id,
+            class: call.class,
+            plan: call.plan,
+            volume: call.volume,
+            extent: call.extent,
+            shard: call.shard,
+            remaining,
+            units: call.units,
+            hosts: call.hosts,
+            repeat: call.repeat,
+        })]);
+        ticket
+    }
+
+    /// Reports an attempt's end, unless the module was told of it before.
+    fn report(&self, ticket: &Ticket, attempt: usize, reply: &Reply) {
+        let out = {
+            let mut state = self.state.borrow_mut();
+            let mailbox = state.mailboxes.get_mut(&ticket.id);
+            mailbox.and_then(|m| m.out.take_if(|(number, _)| *number == attempt))
+        };
+        let Some((_, sent_at)) = out else { return };
+        self.counters.outcome(reply.outcome);
+        self.tell(&[Event::Outcome {
+            request: ticket.id,
+            attempt,
+            outcome: reply.outcome,
+            elapsed: self.clock.now() - sent_at,
+            done: reply.outcome == Outcome::Ok,
+            used: reply.used,
+            elsewhere: 0.0,
+            report: reply.report,
+        }]);
+    }
+}
+
+/// A request in hand. Dropped without an answer, it tells the module that the client has gone; either
+/// way every attempt that the module takes to be out gets its outcome.
+struct Ticket {
+    dispatcher: Rc<Dispatcher>,
+    id: RequestId,
+    mail: mpsc::UnboundedReceiver<Choice>,
+    answered: bool,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let dispatcher = self.dispatcher.clone();
+        if !self.answered {
+            dispatcher.counters.gone.add();
+            dispatcher.tell(&[Event::ClientGone { request: self.id }]);
+        }
+        let out = dispatcher.state.borrow().mailboxes.get(&self.id).and_then(|m| m.out);
+        if let Some((attempt, _)) = out {
+            dispatcher.report(self, attempt, &Reply::empty(Outcome::Cancelled));
+        }
+        dispatcher.state.borrow_mut().mailboxes.remove(&self.id);
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,235 @@
+//! The program from start to exit, as named phases of one object.
+
+use crate::config::Config;
+use crate::core::{Clock, Dispatcher};
+use crate::counters::Counters;
+use crate::descriptors::Budget;
+use crate::discovery::{Directory, List};
+use crate::front::http::HttpFront;
+use crate::node::Nodes;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+/// After SIGTERM: how long idle connections are kept, and how long new ones are accepted. Clients keep
+/// coming for 0.4 s, and a request that is on its way must find the listener.
+const KEEP_IDLE: Duration = Duration::from_millis(450);
+const KEEP_ACCEPTING: Duration = Duration::from_millis(700);
+/// How long the whole list is tried for before the list known from an earlier life has to do.
+const LIST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Where the program stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Reading its configuration, listening, waiting for the node list.
+    Starting,
+    /// In service.
+    Ready,
+    /// Told to stop: answers what it took and takes what still comes.
+    Draining,
+    /// All is answered.
+    Stopped,
+}
+
+/// The phase, the signal that idle connections shall close, and the connections still open.
+pub struct Phases {
+    phase: watch::Sender<Phase>,
+    closing: watch::Sender<bool>,
+    connections: watch::Sender<usize>,
+}
+
+/// One connection that the program waits for before it ends.
+pub struct ConnectionGuard(watch::Sender<usize>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.send_modify(|open| *open -= 1);
+    }
+}
+
+impl Default for Phases {
+    fn default() -> Self {
+        Phases {
+            phase: watch::Sender::new(Phase::Starting),
+            closing: watch::Sender::new(false),
+            connections: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Phases {
+    /// The phase now.
+    pub fn now(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Goes on to a later phase; there is no way back.
+    pub fn enter(&self, phase: Phase) {
+        let entered = self.phase.send_if_modified(|now| {
+            let later = *now < phase;
+            *now = phase.max(*now);
+            later
+        });
+        if entered {
+            log::info!("daemon: {phase:?}");
+        }
+    }
+
+    /// Counts a connection for as long as the guard lives.
+    pub fn connection(&self) -> ConnectionGuard {
+        self.connections.send_modify(|open| *open += 1);
+        ConnectionGuard(self.connections.clone())
+    }
+
+    /// Turns true when idle connections shall close.
+    pub fn subscribe_closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
+    }
+
+    /// Tells idle connections to close.
+    pub fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Waits until no connection is open.
+    pub async fn all_closed(&self) {
+        // The sender lives in `self`, so the wait can't fail.
+        let _ = self.connections.subscribe().wait_for(|open| *open == 0).await;
+    }
+}
+
+/// Why the program can't go on.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// The listener can't be opened.
+    #[error("listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, io::Error),
+    /// Signals can't be waited for.
+    #[error("signals: {0}")]
+    Signals(io::Error),
+    /// Settings that can't be served.
+    #[error(transparent)]
+    Settings(#[from] crate::api::SettingsError),
+}
+
+/// The whole program.
+pub struct Daemon {
+    config: Config,
+    phases: Rc<Phases>,
+    counters: Rc<Counters>,
+}
+
+impl Daemon {
+    /// A program that has not started yet.
+    pub fn new(config: Config) -> Daemon {
+        Daemon { config, phases: Rc::default(), counters: Rc::default() }
+    }
+
+    /// Runs until SIGTERM or SIGINT has been served to its end. Needs a local task set.
+    pub async fn run(self) -> Result<(), DaemonError> {
+        let Daemon { config, phases, counters } = self;
+        let (mut terminate, mut interrupt) = (
+            signal(SignalKind::terminate()).map_err(DaemonError::Signals)?,
+            signal(SignalKind::interrupt()).map_err(DaemonError::Signals)?,
+        );
+        let mut ask = signal(SignalKind::user_defined1()).map_err(DaemonError::Signals)?;
+        let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let (settings, notes) = (config.settings, config.notes);
+        let dispatcher = Dispatcher::new(settings, config.seed, Clock::start(), counters.clone())?;
+        let budget = Budget::new(config.limits.sockets, counters.clone());
+        let nodes = Nodes::new(budget.clone(), counters.clone(), notes.connect_timeout, notes.conn_idle);
+        let zones = notes.zone_names.clone();
+        let directory = Directory::new(dispatcher.clone(), nodes.clone(), counters.clone(), zones);
+        let listener =
+            TcpListener::bind(config.listen).await.map_err(|e| DaemonError::Listen(config.listen, e))?;
+
+        let front = Rc::new(HttpFront {
+            dispatcher: dispatcher.clone(),
+            transport: nodes.clone(),
+            notes,
+            phases: phases.clone(),
+            budget,
+            counters: counters.clone(),
+        });
+        spawn_local(async move { dispatcher.keep_time().await });
+        spawn_local(async move { nodes.sweep().await });
+        spawn_local(obtain_list(directory, config.known, config.discovery, phases.clone()));
+
+        let told = async {
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => return,
+                    _ = interrupt.recv() => return,
+                    _ = ask.recv() => log::info!("counters: {counters}"),
+                }
+            }
+        };
+        tokio::select! {
+            () = front.clone().listen(&listener) => {}
+            () = told => {}
+        }
+
+        phases.enter(Phase::Draining);
+        let started = Instant::now();
+        let end = started + KEEP_ACCEPTING + crate::core::seconds(longest);
+        tokio::select! {
+            () = front.clone().listen(&listener) => {}
+            () = sleep_until(started + KEEP_IDLE) => phases.close_idle(),
+        }
+        tokio::select! {
+            () = front.clone().listen(&listener) => {}
+            () = sleep_until(started + KEEP_ACCEPTING) => {}
+        }
+        // What the system has accepted for us counts as taken.
+        while let Ok(Ok((stream, _))) = timeout_at(Instant::now(), listener.accept()).await {
+            front.admit(stream);
+        }
+        drop(listener);
+        if timeout_at(end, phases.all_closed()).await.is_err() {
+            log::warn!("daemon: connections still open at the end");
+        }
+        phases.enter(Phase::Stopped);
+        log::info!("counters: {counters}");
+        Ok(())
+    }
+}
+
+/// Gets the node list, from discovery or else from the earlier life, then follows its changes.
+async fn obtain_list(
+    directory: Rc<Directory>,
+    known: Option<serde_json::Value>,
+    discovery: std::net::SocketAddr,
+    phases: Rc<Phases>,
+) {
+    let known: Option<List> = known.and_then(|known| match serde_json::from_value(known) {
+        Ok(list) => Some(list),
+        Err(problem) => {
+            log::warn!("daemon: known list: {problem}");
+            None
+        }
+    });
+    let stands = known.is_some_and(|list| {
+        directory.apply(&list, crate::api::ListKind::Cached);
+        !list.targets.is_empty()
+    });
+    let patience = Instant::now() + LIST_PATIENCE;
+    loop {
+        match directory.fetch(discovery).await {
+            Ok(()) => break,
+            Err(problem) => log::warn!("discovery: no list: {problem}"),
+        }
+        if stands && Instant::now() >= patience {
+            log::warn!("daemon: in service with the list of an earlier life");
+            break;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    phases.enter(Phase::Ready);
+    directory.follow(discovery).await;
+}
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,254 @@
+//! Discovery: the whole node list, then a watch on its changes, for as long as the program runs.
+
+use crate::api::*;
+use crate::core::Dispatcher;
+use crate::counters::Counters;
+use crate::node::{Nodes, Place};
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// How long a call for the list may take; the agent is on this machine and silent when it is cut off.
+const CALL: Duration = Duration::from_secs(1);
+/// A watch that stays silent this long is dead: an empty line is due every 2 s.
+const SILENCE: Duration = Duration::from_secs(3);
+/// First and longest pause between two tries.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Longest line, and longest list, that is read.
+const LONGEST_LINE: usize = 4 << 20;
+
+/// Why a call or a watch came to its end.
+#[derive(Debug, Error)]
+pub enum DiscoveryError {
+    /// Nothing came in time.
+    #[error("silent for {0:?}")]
+    Silent(Duration),
+    /// The connection failed.
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    /// The exchange broke off.
+    #[error("exchange: {0}")]
+    Http(#[from] hyper::Error),
+    /// The request could not be worded.
+    #[error("request: {0}")]
+    Request(#[from] hyper::http::Error),
+    /// It answered with another status than 200.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// A list that can't be read.
+    #[error("list: {0}")]
+    List(#[from] serde_json::Error),
+    /// A line past any sensible length.
+    #[error("a line of over {LONGEST_LINE} bytes")]
+    TooLong,
+    /// The watch was closed from the other side.
+    #[error("the watch was closed")]
+    Closed,
+}
+
+/// The list, or changes of it, as discovery words them.
+#[derive(Debug, Deserialize)]
+pub struct List {
+    /// Version.
+    pub rev: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub all: bool,
+    /// The entries.
+    pub targets: Vec<Target>,
+}
+
+/// One entry of the list.
+#[derive(Debug, Deserialize)]
+pub struct Target {
+    /// The node's name among all heads.
+    pub uid: String,
+    /// Where this head reaches it.
+    #[serde(default)]
+    pub endpoint: String,
+    /// Its zone.
+    #[serde(default)]
+    pub az: String,
+    /// The shard it holds.
+    #[serde(default)]
+    pub pod_group: u32,
+    /// Whether it takes work.
+    pub state: String,
+    /// Its last start, in milliseconds of Unix time; 0 for long ago.
+    #[serde(default)]
+    pub boot_ms: f64,
+}
+
+/// Keeps the module's list and the transport's places in step with discovery.
+pub struct Directory {
+    dispatcher: Rc<Dispatcher>,
+    nodes: Rc<Nodes>,
+    counters: Rc<Counters>,
+    names: RefCell<HashMap<String, NodeId>>,
+    zones: RefCell<Vec<String>>,
+    version: Cell<u64>,
+}
+
+impl Directory {
+    /// Knows nothing yet; `zones` are the settings' names, in their order.
+    pub fn new(
+        dispatcher: Rc<Dispatcher>,
+        nodes: Rc<Nodes>,
+        counters: Rc<Counters>,
+        zones: Vec<String>,
+    ) -> Rc<Directory> {
+        let (names, zones, version) = (RefCell::default(), RefCell::new(zones), Cell::new(0));
+        Rc::new(Directory { dispatcher, nodes, counters, names, zones, version })
+    }
+
+    /// Takes in a list: the transport first, so that nothing is written to a node that just left.
+    pub fn apply(&self, list: &List, kind: ListKind) {
+        self.counters.list_changes.add();
+        self.version.set(list.rev);
+        if kind != ListKind::Changes {
+            let listed = |name: &String| list.targets.iter().any(|t| t.uid == *name);
+            let names = self.names.borrow();
+            names.iter().filter(|(name, _)| !listed(name)).for_each(|(_, node)| self.nodes.forget(*node));
+        }
+        let entries: Vec<NodeInfo> = list.targets.iter().filter_map(|target| self.entry(target)).collect();
+        self.dispatcher.tell(&[Event::Nodes { kind, nodes: entries }]);
+    }
+
+    fn entry(&self, target: &Target) -> Option<NodeInfo> {
+        let next = self.names.borrow().len() as u64;
+        let node = *self.names.borrow_mut().entry(target.uid.clone()).or_insert(NodeId(next));
+        let state = match target.state.as_str() {
+            "ready" => NodeState::Ready,
+            "draining" => NodeState::Draining,
+            "gone" => NodeState::Gone,
+            other => {
+                log::warn!("discovery: {}: unknown state {other:?}, taken as draining", target.uid);
+                NodeState::Draining
+            }
+        };
+        let state = match (state, target.endpoint.parse::<SocketAddr>()) {
+            (NodeState::Gone, _) => {
+                self.nodes.forget(node);
+                NodeState::Gone
+            }
+            (state, Ok(address)) => {
+                self.nodes.place(node, Place { address, state });
+                state
+            }
+            (_, Err(problem)) => {
+                log::warn!("discovery: {}: {}: {problem}, left out", target.uid, target.endpoint);
+                self.counters.bad_input.add();
+                self.nodes.forget(node);
+                NodeState::Gone
+            }
+        };
+        let since = if target.boot_ms > 0.0 { target.boot_ms / 1000.0 } else { 0.0 };
+        Some(NodeInfo { node, shard: ShardId(target.pod_group), since, zone: self.zone(&target.az), state })
+    }
+
+    fn zone(&self, name: &str) -> ZoneId {
+        let mut zones = self.zones.borrow_mut();
+        let place = zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            zones.push(name.into());
+            zones.len() - 1
+        });
+        ZoneId(u16::try_from(place).unwrap_or(u16::MAX))
+    }
+
+    /// Fetches the whole list once.
+    pub async fn fetch(&self, address: SocketAddr) -> Result<(), DiscoveryError> {
+        let call = async {
+            let (response, guard) = get(address, "/api/targets".into()).await?;
+            let body = response.into_body().collect().await?.to_bytes();
+            drop(guard);
+            Ok::<_, DiscoveryError>(body)
+        };
+        let body = timeout(CALL, call).await.map_err(|_| DiscoveryError::Silent(CALL))??;
+        self.apply(&serde_json::from_slice(&body)?, ListKind::Whole);
+        Ok(())
+    }
+
+    /// Watches the changes after the version known, until the watch ends.
+    async fn watch(&self, address: SocketAddr) -> Result<(), DiscoveryError> {
+        let path = format!("/api/targets?follow=1&since={}", self.version.get());
+        let call = timeout(CALL, get(address, path)).await.map_err(|_| DiscoveryError::Silent(CALL))?;
+        let (response, _guard) = call?;
+        let mut body = response.into_body();
+        let mut text = BytesMut::new();
+        loop {
+            let frame = timeout(SILENCE, body.frame()).await.map_err(|_| DiscoveryError::Silent(SILENCE))?;
+            let Some(data) = frame.transpose()?.map(|f| f.into_data()) else {
+                return Err(DiscoveryError::Closed);
+            };
+            text.extend_from_slice(&data.unwrap_or_default());
+            while let Some(end) = text.iter().position(|b| *b == b'\n') {
+                let line = text.split_to(end);
+                text.advance(1);
+                if line.iter().all(u8::is_ascii_whitespace) {
+                    continue;
+                }
+                let list: List = serde_json::from_slice(&line)?;
+                let kind = if list.all { ListKind::Whole } else { ListKind::Changes };
+                log::info!("discovery: version {}, {} entries, {kind:?}", list.rev, list.targets.len());
+                self.apply(&list, kind);
+            }
+            if text.len() > LONGEST_LINE {
+                return Err(DiscoveryError::TooLong);
+            }
+        }
+    }
+
+    /// Keeps a watch for as long as the program runs.
+    pub async fn follow(&self, address: SocketAddr) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let before = self.counters.list_changes.get();
+            if let Err(problem) = self.watch(address).await {
+                log::warn!("discovery: watch ended: {problem}");
+            }
+            self.counters.watches_lost.add();
+            let heard = self.counters.list_changes.get() > before;
+            pause = if heard { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            sleep(pause).await;
+        }
+    }
+}
+
+/// Ends the connection's task when the exchange is dropped.
+struct Guard(JoinHandle<()>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn get(address: SocketAddr, path: String) -> Result<(Response<Incoming>, Guard), DiscoveryError> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let guard = Guard(tokio::task::spawn_local(async move {
+        if let Err(problem) = connection.await {
+            log::debug!("discovery: {problem}");
+        }
+    }));
+    let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
+    let response = sender.send_request(request).await?;
+    match response.status() {
+        StatusCode::OK => Ok((response, guard)),
+        other => Err(DiscoveryError::Status(other)),
+    }
+}
--- /dev/null
+++ b/src/front/http.rs
@@ -0,0 +1,302 @@
+//! The platform's front: HTTP/1.1, as a tower service over hyper.
+
+use crate::api::*;
+use crate::config::WireNotes;
+use crate::core::{Answer, Call, Dispatcher, Envelope, Transport, Verb, seconds};
+use crate::counters::Counters;
+use crate::daemon::{Phase, Phases};
+use crate::descriptors::{Budget, Slot};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
+
+/// Longest body that is taken; the protocol allows 64 KiB.
+const LONGEST_BODY: usize = 256 * 1024;
+/// Pause after the system would not give a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Longest time that a client may say it waits, in seconds.
+const LONGEST_WAIT: f64 = 3600.0;
+
+/// What all connections of this front share.
+pub struct HttpFront<T> {
+    /// The core.
+    pub dispatcher: Rc<Dispatcher>,
+    /// The way to the nodes.
+    pub transport: Rc<T>,
+    /// Names of classes and plans.
+    pub notes: WireNotes,
+    /// The program's phase.
+    pub phases: Rc<Phases>,
+    /// The descriptors.
+    pub budget: Rc<Budget>,
+    /// The counts.
+    pub counters: Rc<Counters>,
+}
+
+/// A request that can't be understood.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum BadRequest {
+    /// A method with no meaning here.
+    #[error("method {0} is not served")]
+    Method(Method),
+    /// The path is not class, volume and object.
+    #[error("path: {0}")]
+    Path(&'static str),
+    /// A field is missing or can't be read.
+    #[error("{0} is missing or malformed")]
+    Field(&'static str),
+}
+
+/// The fields that a decision needs, out of a request's head.
+#[derive(Debug, PartialEq)]
+pub struct Fields {
+    class: ClassId,
+    plan: PlanId,
+    volume: VolumeId,
+    extent: ExtentId,
+    shard: Option<ShardId>,
+    units: f64,
+    hosts: u32,
+    repeat: bool,
+    left: f64,
+    verb: Verb,
+}
+
+impl Fields {
+    /// Reads them; everything else goes on as it came.
+    pub fn read(
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        notes: &WireNotes,
+    ) -> Result<Fields, BadRequest> {
+        let verb = match *method {
+            Method::GET => Verb::Read,
+            Method::PUT => Verb::Write,
+            ref other => return Err(BadRequest::Method(other.clone())),
+        };
+        let mut parts = path.strip_prefix('/').ok_or(BadRequest::Path("no slash"))?.split('/');
+        let class = parts.next().and_then(|c| notes.class_names.iter().position(|name| name == c));
+        let class = ClassId(class.ok_or(BadRequest::Path("unknown class"))?);
+        let mut hex = || parts.next().and_then(|p| u64::from_str_radix(p, 16).ok());
+        let volume = VolumeId(hex().ok_or(BadRequest::Path("no volume"))?);
+        let extent = ExtentId(hex().ok_or(BadRequest::Path("no object"))?);
+        if parts.next().is_some() {
+            return Err(BadRequest::Path("more than three parts"));
+        }
+        let text = |name: &'static str| {
+            headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim).ok_or(BadRequest::Field(name))
+        };
+        text("x-correlation-id")?;
+        let plan = text("x-qos-policy")?;
+        let plan = notes.plan_names.iter().position(|name| name == plan);
+        let plan = PlanId(plan.ok_or(BadRequest::Field("x-qos-policy"))?);
+        let left =
+            text("x-time-left")?.parse::<f64>().ok().filter(|left| (0.0..=LONGEST_WAIT).contains(left));
+        let left = left.ok_or(BadRequest::Field("x-time-left"))?;
+        let (mut units, mut shard, mut hosts) = (None, None, 1);
+        for pair in text("x-placement")?.split(',') {
+            let bad = BadRequest::Field("x-placement");
+            match pair.trim().split_once('=') {
+                Some(("units", value)) => units = value.parse().ok(),
+                Some(("shard", value)) => shard = Some(value.parse::<i64>().map_err(|_| bad)?),
+                Some(("hosts", value)) => hosts = value.parse().map_err(|_| bad)?,
+                Some(_) => {}
+                None => return Err(bad),
+            }
+        }
+        let units = units.filter(|units: &f64| (0.0..=1e6).contains(units));
+        let units = units.ok_or(BadRequest::Field("x-placement"))?;
+        let shard = match shard {
+            Some(number @ 0..) => Some(u32::try_from(number).map_err(|_| BadRequest::Field("x-placement"))?),
+            _ => None,
+        };
+        let (shard, repeat) = (shard.map(ShardId), headers.get("x-repeat").is_some_and(|v| v == "1"));
+        Ok(Fields { class, plan, volume, extent, shard, units, hosts, repeat, left, verb })
+    }
+}
+
+/// One connection's service.
+struct Service<T> {
+    front: Rc<HttpFront<T>>,
+    slot: Rc<Slot>,
+    close: Rc<Notify>,
+}
+
+impl<T> Clone for Service<T> {
+    fn clone(&self) -> Self {
+        Service { front: self.front.clone(), slot: self.slot.clone(), close: self.close.clone() }
+    }
+}
+
+impl<T> Service<T> {
+    /// Between two requests: may be closed if descriptors run short.
+    fn rest(&self) {
+        let close = self.close.clone();
+        self.slot.idle(move || close.notify_one());
+    }
+}
+
+impl<T: Transport + 'static> tower::Service<Request<Incoming>> for Service<T> {
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let arrived = Instant::now();
+        let service = self.clone();
+        Box::pin(async move {
+            service.slot.busy();
+            let mut response = service.front.answer(request, arrived).await;
+            if service.front.phases.now() >= Phase::Draining {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            service.rest();
+            Ok(response)
+        })
+    }
+}
+
+impl<T: Transport + 'static> HttpFront<T> {
+    async fn answer(&self, request: Request<Incoming>, arrived: Instant) -> Response<Full<Bytes>> {
+        match request.uri().path() {
+            "/-/ready" => {
+                let ready = self.phases.now() == Phase::Ready;
+                let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                return plain(status, format!("{:?}\n", self.phases.now()));
+            }
+            "/-/healthy" => return plain(StatusCode::OK, "up\n"),
+            "/-/counters" => return plain(StatusCode::OK, format!("{}\n", self.counters)),
+            _ => {}
+        }
+        match self.call(request, arrived).await {
+            Err(problem) => {
+                self.counters.bad_input.add();
+                log::debug!("http: {problem}");
+                plain(StatusCode::BAD_REQUEST, format!("{problem}\n"))
+            }
+            Ok(call) => word(self.dispatcher.serve(&*self.transport, call).await),
+        }
+    }
+
+    /// The call that a request makes.
+    async fn call(&self, request: Request<Incoming>, arrived: Instant) -> Result<Call, BadRequest> {
+        let (head, body) = request.into_parts();
+        let fields = Fields::read(&head.method, head.uri.path(), &head.headers, &self.notes)?;
+        let deadline = arrived + seconds(fields.left);
+        let target = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
+        let bytes = |name| head.headers.get(name).map(|v: &HeaderValue| Bytes::copy_from_slice(v.as_bytes()));
+        let id = bytes("x-correlation-id").unwrap_or_default();
+        let repeat_key = bytes("idempotency-key");
+        let payload = match timeout_at(deadline, Limited::new(body, LONGEST_BODY).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) | Err(_) => return Err(BadRequest::Field("body")),
+        };
+        Ok(Call {
+            class: fields.class,
+            plan: fields.plan,
+            volume: fields.volume,
+            extent: Some(fields.extent).filter(|e| e.0 != 0),
+            shard: fields.shard,
+            units: fields.units,
+            hosts: fields.hosts,
+            repeat: fields.repeat,
+            deadline,
+            envelope: Rc::new(Envelope { verb: fields.verb, target, id, repeat_key, payload }),
+        })
+    }
+
+    /// Accepts clients until told to stop, then hands the listener back.
+    pub async fn listen(self: Rc<Self>, listener: &TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream),
+                Err(problem) => {
+                    // Never the end of the program: a descriptor is freed, or the client has left.
+                    log::warn!("http: accept: {problem}");
+                    self.budget.reclaim();
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Serves one connection in a task of its own.
+    pub fn admit(self: &Rc<Self>, stream: TcpStream) {
+        self.counters.client_connections.add();
+        let Some(slot) = self.budget.slot() else {
+            log::warn!("http: out of descriptors, a connection is turned away");
+            return;
+        };
+        if let Err(problem) = stream.set_nodelay(true) {
+            log::debug!("http: {problem}");
+        }
+        let (slot, close) = (Rc::new(slot), Rc::new(Notify::new()));
+        let service = Service { front: self.clone(), slot, close: close.clone() };
+        service.rest();
+        let guard = self.phases.connection();
+        let mut closing = self.phases.subscribe_closing();
+        tokio::task::spawn_local(async move {
+            let _guard = guard;
+            let io = TokioIo::new(stream);
+            let mut connection =
+                std::pin::pin!(http1::Builder::new().serve_connection(io, TowerToHyperService::new(service)));
+            let mut told = false;
+            let ended = loop {
+                tokio::select! {
+                    ended = connection.as_mut() => break ended,
+                    () = close.notified(), if !told => {}
+                    _ = closing.wait_for(|closing| *closing), if !told => {}
+                }
+                told = true;
+                connection.as_mut().graceful_shutdown();
+            };
+            if let Err(problem) = ended {
+                log::debug!("http: connection ended: {problem}");
+            }
+        });
+    }
+}
+
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
+
+/// Words the core's answer.
+fn word(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Served(body) => Response::new(Full::new(body)),
+        Answer::Refused { wait } => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, come again\n");
+            if wait > 0.0 {
+                if let Ok(value) = HeaderValue::from_str(&format!("{wait:.3}")) {
+                    response.headers_mut().insert(RETRY_AFTER, value);
+                }
+            }
+            response
+        }
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! The fronts: each takes requests out of one protocol, has the core serve them and words the answers.
+
+pub mod http;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,14 @@
 extern crate self as flaxgap;
 
 pub mod api;
+pub mod config;
+pub mod core;
+pub mod counters;
+pub mod daemon;
+pub mod descriptors;
+pub mod discovery;
+pub mod front;
 mod logic;
+pub mod node;
 
 pub use logic::Scheduler;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,25 @@
+//! The storage head as a program.
+
+use flaxgap::config::Config;
+use flaxgap::daemon::Daemon;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            log::error!("flaxgap: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), Box<dyn std::error::Error>> {
+    let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no configuration")?;
+    let config = Config::load(&path)?;
+    log::info!("daemon: {} listens on {}, discovery at {}", config.name, config.listen, config.discovery);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    Ok(local.block_on(&runtime, Daemon::new(config).run())?)
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,404 @@
+//! The transport to the nodes: HTTP/1.1 over a small pool of connections for each node.
+//!
+//! A connection is no task of its own: the attempt that uses it drives it, so dropping the attempt
+//! closes the socket there and then. Nothing here sends a request twice.
+
+use crate::api::*;
+use crate::core::{Envelope, Reply, Transport, Verb, seconds};
+use crate::counters::Counters;
+use crate::descriptors::{Budget, Slot};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// Part of the nodes' idle time after which a pooled connection is closed: one that the node is about
+/// to close would turn the next request into a reset.
+const IDLE_PART: f64 = 0.5;
+/// Longest body that is taken from a node; the protocol allows 64 KiB.
+const LONGEST_BODY: usize = 256 * 1024;
+
+/// Where a node is and whether it takes work, as discovery last had it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it takes work.
+    pub state: NodeState,
+}
+
+/// How far the request that a connection carries has been written.
+#[derive(Default)]
+struct Progress {
+    body_taken: Cell<bool>,
+    wrote: Cell<bool>,
+    whole: Cell<bool>,
+}
+
+/// The request's body: tells when its last bytes have been handed to the connection.
+struct Payload {
+    bytes: Option<Bytes>,
+    progress: Rc<Progress>,
+}
+
+impl Body for Payload {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let bytes = self.bytes.take();
+        self.progress.body_taken.set(true);
+        Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |b| b.len() as u64))
+    }
+}
+
+/// The socket, watched for the moment when the request's last byte is out: the connection flushes only
+/// once its own buffer is empty.
+struct Watched {
+    stream: TcpStream,
+    progress: Rc<Progress>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl Watched {
+    fn note(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.progress.wrote.set(true);
+        }
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.wrote.get() && self.progress.body_taken.get() {
+            self.progress.whole.set(true);
+        }
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// One connection to a node.
+struct Link {
+    sender: SendRequest<Payload>,
+    connection: Connection<TokioIo<Watched>, Payload>,
+    progress: Rc<Progress>,
+    slot: Slot,
+    idle_since: Instant,
+    ended: bool,
+}
+
+impl Link {
+    /// Drives the connection while `work` uses it.
+    async fn drive<O>(&mut self, work: impl Future<Output = O>) -> O {
+        let mut work = pin!(work);
+        poll_fn(|cx| {
+            self.poll_connection(cx);
+            match work.as_mut().poll(cx) {
+                Poll::Ready(output) => Poll::Ready(output),
+                Poll::Pending => {
+                    self.poll_connection(cx);
+                    work.as_mut().poll(cx)
+                }
+            }
+        })
+        .await
+    }
+
+    fn poll_connection(&mut self, cx: &mut Context<'_>) {
+        if !self.ended && Pin::new(&mut self.connection).poll(cx).is_ready() {
+            self.ended = true;
+        }
+    }
+
+    /// Whether it can carry another request right now.
+    async fn usable(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.poll_connection(cx);
+            let ready = self.sender.poll_ready(cx);
+            Poll::Ready(!self.ended && matches!(ready, Poll::Ready(Ok(()))))
+        })
+        .await
+    }
+}
+
+#[derive(Default)]
+struct Pools {
+    places: HashMap<NodeId, Place>,
+    idle: HashMap<NodeId, Vec<(u64, Link)>>,
+    next: u64,
+}
+
+/// The nodes, as places and as pools of connections.
+pub struct Nodes {
+    pools: Rc<RefCell<Pools>>,
+    budget: Rc<Budget>,
+    counters: Rc<Counters>,
+    connect_timeout: Duration,
+    idle_for: Duration,
+}
+
+impl Nodes {
+    /// Knows no node yet. `conn_idle` is the time after which nodes close idle connections.
+    pub fn new(
+        budget: Rc<Budget>,
+        counters: Rc<Counters>,
+        connect_timeout: f64,
+        conn_idle: f64,
+    ) -> Rc<Nodes> {
+        let (connect_timeout, idle_for) = (seconds(connect_timeout), seconds(conn_idle * IDLE_PART));
+        let pools = Rc::default();
+        Rc::new(Nodes { pools, budget, counters, connect_timeout, idle_for })
+    }
+
+    /// Takes in what discovery says of a node. One that takes no more work, or has moved, loses its
+    /// idle connections.
+    pub fn place(&self, node: NodeId, place: Place) {
+        let mut pools = self.pools.borrow_mut();
+        let before = pools.places.insert(node, place.clone());
+        let lost = match before {
+            Some(before) if before.address == place.address && place.state == NodeState::Ready => None,
+            _ => pools.idle.remove(&node),
+        };
+        drop(pools);
+        drop(lost);
+    }
+
+    /// Forgets a node that left the list.
+    pub fn forget(&self, node: NodeId) {
+        let mut pools = self.pools.borrow_mut();
+        let lost = (pools.places.remove(&node), pools.idle.remove(&node));
+        drop(pools);
+        drop(lost);
+    }
+
+    /// Where a node is, if it takes work now.
+    fn ready(&self, node: NodeId) -> Option<SocketAddr> {
+        let pools = self.pools.borrow();
+        pools.places.get(&node).filter(|p| p.state == NodeState::Ready).map(|p| p.address)
+    }
+
+    /// Closes connections that have been idle for long; runs as long as the program.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(self.idle_for.min(Duration::from_secs(1))).await;
+            let mut old = Vec::new();
+            for idle in self.pools.borrow_mut().idle.values_mut() {
+                let keep = idle.iter().position(|(_, l)| l.idle_since.elapsed() < self.idle_for);
+                old.extend(idle.drain(..keep.unwrap_or(idle.len())));
+            }
+            drop(old);
+        }
+    }
+
+    /// The newest idle connection that still stands.
+    async fn pooled(&self, node: NodeId) -> Option<Link> {
+        loop {
+            let (_, mut link) = self.pools.borrow_mut().idle.get_mut(&node)?.pop()?;
+            link.slot.busy();
+            if link.idle_since.elapsed() < self.idle_for && link.usable().await {
+                return Some(link);
+            }
+        }
+    }
+
+    fn keep(&self, node: NodeId, mut link: Link) {
+        if link.ended || link.sender.is_closed() || self.ready(node).is_none() {
+            return;
+        }
+        link.idle_since = Instant::now();
+        let mut pools = self.pools.borrow_mut();
+        let number = pools.next;
+        pools.next += 1;
+        let weak = Rc::downgrade(&self.pools);
+        link.slot.idle(move || {
+            let Some(pools) = weak.upgrade() else { return };
+            let link = pools.borrow_mut().idle.get_mut(&node).and_then(|idle| {
+                let place = idle.iter().position(|(n, _)| *n == number)?;
+                Some(idle.remove(place))
+            });
+            drop(link);
+        });
+        pools.idle.entry(node).or_default().push((number, link));
+    }
+
+    async fn connect(&self, address: SocketAddr, until: Instant) -> Option<Link> {
+        let slot = self.budget.slot()?;
+        let until = until.min(Instant::now() + self.connect_timeout);
+        self.counters.node_connections.add();
+        let stream = match timeout_at(until, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(problem)) => {
+                log::debug!("node: {address}: {problem}");
+                return None;
+            }
+            Err(_) => {
+                log::debug!("node: {address}: no connection in time");
+                return None;
+            }
+        };
+        if let Err(problem) = stream.set_nodelay(true) {
+            log::debug!("node: {address}: {problem}");
+        }
+        let progress = Rc::new(Progress::default());
+        let io = TokioIo::new(Watched { stream, progress: progress.clone() });
+        let (sender, connection) = http1::handshake(io).await.ok()?;
+        Some(Link { sender, connection, progress, slot, idle_since: Instant::now(), ended: false })
+    }
+
+    async fn attempt(&self, node: NodeId, envelope: &Envelope, until: Instant) -> Reply {
+        let Some(address) = self.ready(node) else { return Reply::empty(Outcome::Moot) };
+        let mut link = match self.pooled(node).await {
+            Some(link) => link,
+            None => match self.connect(address, until).await {
+                Some(link) => link,
+                None => return Reply::empty(Outcome::ConnectFailed),
+            },
+        };
+        // A slow connect may have outlasted the node's readiness.
+        if self.ready(node) != Some(address) {
+            return Reply::empty(Outcome::Moot);
+        }
+        link.progress.wrote.set(false);
+        link.progress.whole.set(false);
+        link.progress.body_taken.set(envelope.payload.is_empty());
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        let Some(request) = request(envelope, address, left, &link.progress) else {
+            return Reply::empty(Outcome::Moot);
+        };
+        let answer = link.sender.send_request(request);
+        let work = async {
+            let (head, body) = answer.await?.into_parts();
+            let body = Limited::new(body, LONGEST_BODY).collect().await?.to_bytes();
+            Ok::<_, Box<dyn std::error::Error + Send + Sync>>((head, body))
+        };
+        match timeout_at(until, link.drive(work)).await {
+            Err(_) => Reply::empty(match link.progress.whole.get() {
+                true => Outcome::Timeout,
+                false => Outcome::ConnectFailed,
+            }),
+            Ok(Err(problem)) => {
+                log::debug!("node: {address}: {problem}");
+                Reply::empty(match link.progress.whole.get() {
+                    true => Outcome::Reset,
+                    false => Outcome::ConnectFailed,
+                })
+            }
+            Ok(Ok((head, body))) => {
+                let outcome = match head.status {
+                    StatusCode::OK => Outcome::Ok,
+                    StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+                        if head.headers.get("x-unprocessed").is_some_and(|v| v == "1") =>
+                    {
+                        Outcome::Full
+                    }
+                    _ => Outcome::Error,
+                };
+                let (used, report) = notes(&head.headers);
+                self.keep(node, link);
+                Reply { outcome, body, used, report }
+            }
+        }
+    }
+}
+
+impl Transport for Nodes {
+    async fn send(&self, node: NodeId, envelope: &Envelope, until: Instant) -> Reply {
+        self.attempt(node, envelope, until).await
+    }
+}
+
+/// The request as it goes to a node; `None` if its parts are no HTTP.
+fn request(
+    envelope: &Envelope,
+    address: SocketAddr,
+    left: f64,
+    progress: &Rc<Progress>,
+) -> Option<hyper::Request<Payload>> {
+    let method = match envelope.verb {
+        Verb::Read => Method::GET,
+        Verb::Write => Method::PUT,
+    };
+    let mut request = hyper::Request::builder()
+        .method(&method)
+        .uri(&envelope.target)
+        .header(HOST, address.to_string())
+        .header("x-correlation-id", HeaderValue::from_maybe_shared(envelope.id.clone()).ok()?)
+        .header("x-time-left", format!("{left:.3}"));
+    if let Some(key) = &envelope.repeat_key {
+        request = request.header("idempotency-key", HeaderValue::from_maybe_shared(key.clone()).ok()?);
+    }
+    if method == Method::PUT && envelope.payload.is_empty() {
+        request = request.header(CONTENT_LENGTH, 0);
+    }
+    let bytes = Some(envelope.payload.clone()).filter(|b| !b.is_empty());
+    request.body(Payload { bytes, progress: progress.clone() }).ok()
+}
+
+/// The meter's figure and the load report that an answer may carry; what can't be read is left out.
+fn notes(headers: &HeaderMap) -> (Option<f64>, Report) {
+    let used = headers.get("x-iops-used").and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
+    let used = used.filter(|percent| percent.is_finite() && *percent >= 0.0).map(|percent| percent / 100.0);
+    let load = headers.get("x-backend-load").map(HeaderValue::as_bytes);
+    let load: HashMap<String, f64> = load.and_then(|l| serde_json::from_slice(l).ok()).unwrap_or_default();
+    (used, crate::config::report(load.iter().map(|(name, value)| (name.as_str(), *value))))
+}
