Add the block front: an iSCSI target over the same core, with its stories

Conclusion: the second front goes through the same decisions; it is off unless FLAXGAP_BLOCK names a file.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -72,6 +72,16 @@
     node_connections,
     /// Connections accepted from clients.
     client_connections,
+    /// Sessions of the block front that passed their login.
+    block_sessions,
+    /// SCSI commands of the block front.
+    block_commands,
+    /// Commands ended with BUSY.
+    block_busy,
+    /// Commands ended with TASK SET FULL.
+    block_task_set_full,
+    /// PDUs of the block front that were rejected.
+    block_rejects,
     /// Idle connections closed because descriptors ran short.
     reclaimed,
     /// Changes of the node list that were taken in.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,9 +5,12 @@
 use crate::counters::Counters;
 use crate::descriptors::Budget;
 use crate::discovery::{Directory, List};
+use crate::front::block::BlockFront;
+use crate::front::block::config::{BlockConfigError, Target};
 use crate::front::http::HttpFront;
 use crate::node::Nodes;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -109,10 +112,13 @@
 pub enum DaemonError {
     /// The listener can't be opened.
     #[error("listen on {0}: {1}")]
-    Listen(std::net::SocketAddr, io::Error),
+    Listen(SocketAddr, io::Error),
     /// Signals can't be waited for.
     #[error("signals: {0}")]
     Signals(io::Error),
+    /// The block file can't be served.
+    #[error(transparent)]
+    Block(#[from] BlockConfigError),
     /// Settings that can't be served.
     #[error(transparent)]
     Settings(#[from] crate::api::SettingsError),
@@ -121,19 +127,21 @@
 /// The whole program.
 pub struct Daemon {
     config: Config,
+    block: Option<String>,
     phases: Rc<Phases>,
     counters: Rc<Counters>,
 }
 
 impl Daemon {
-    /// A program that has not started yet.
-    pub fn new(config: Config) -> Daemon {
-        Daemon { config, phases: Rc::default(), counters: Rc::default() }
+    /// A program that has not started yet. `block` names the block front's file; without it, that front
+    /// is off.
+    pub fn new(config: Config, block: Option<String>) -> Daemon {
+        Daemon { config, block, phases: Rc::default(), counters: Rc::default() }
     }
 
     /// Runs until SIGTERM or SIGINT has been served to its end. Needs a local task set.
     pub async fn run(self) -> Result<(), DaemonError> {
-        let Daemon { config, phases, counters } = self;
+        let Daemon { config, block, phases, counters } = self;
         let (mut terminate, mut interrupt) = (
             signal(SignalKind::terminate()).map_err(DaemonError::Signals)?,
             signal(SignalKind::interrupt()).map_err(DaemonError::Signals)?,
@@ -141,13 +149,20 @@
         let mut ask = signal(SignalKind::user_defined1()).map_err(DaemonError::Signals)?;
         let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let (settings, notes) = (config.settings, config.notes);
+        let block = block.map(|path| Target::load(&path, &settings, &notes)).transpose()?;
         let dispatcher = Dispatcher::new(settings, config.seed, Clock::start(), counters.clone())?;
         let budget = Budget::new(config.limits.sockets, counters.clone());
         let nodes = Nodes::new(budget.clone(), counters.clone(), notes.connect_timeout, notes.conn_idle);
         let zones = notes.zone_names.clone();
         let directory = Directory::new(dispatcher.clone(), nodes.clone(), counters.clone(), zones);
-        let listener =
-            TcpListener::bind(config.listen).await.map_err(|e| DaemonError::Listen(config.listen, e))?;
+        let listener = listen(config.listen, "http").await?;
+        if let Some(target) = block {
+            let listener = listen(target.listen, "block").await?;
+            let (dispatcher, nodes, phases) = (dispatcher.clone(), nodes.clone(), phases.clone());
+            let (budget, counters) = (budget.clone(), counters.clone());
+            let front = BlockFront::new(dispatcher, nodes, target, phases, budget, counters, config.seed);
+            spawn_local(front.listen(listener));
+        }
 
         let front = Rc::new(HttpFront {
             dispatcher: dispatcher.clone(),
@@ -200,11 +215,20 @@
     }
 }
 
+async fn listen(address: SocketAddr, front: &str) -> Result<TcpListener, DaemonError> {
+    let bound = async {
+        let listener = TcpListener::bind(address).await?;
+        log::info!("{front}: listening on {}", listener.local_addr()?);
+        Ok(listener)
+    };
+    bound.await.map_err(|e| DaemonError::Listen(address, e))
+}
+
 /// Gets the node list, from discovery or else from the earlier life, then follows its changes.
 async fn obtain_list(
     directory: Rc<Directory>,
     known: Option<serde_json::Value>,
-    discovery: std::net::SocketAddr,
+    discovery: SocketAddr,
     phases: Rc<Phases>,
 ) {
     let known: Option<List> = known.and_then(|known| match serde_json::from_value(known) {
--- /dev/null
+++ b/src/front/block/pdu.rs
@@ -0,0 +1,241 @@
+//! iSCSI PDUs (RFC 7143, section 11): the basic header segment, the data segment and their digests.
+
+use bytes::{Buf, Bytes, BytesMut};
+use thiserror::Error;
+
+/// Bytes of a basic header segment.
+pub const BHS: usize = 48;
+/// The tag that stands for none.
+pub const NO_TAG: u32 = u32::MAX;
+
+/// Opcodes of the initiator.
+pub mod request {
+    /// NOP-Out.
+    pub const NOP_OUT: u8 = 0x00;
+    /// SCSI Command.
+    pub const SCSI_COMMAND: u8 = 0x01;
+    /// Task Management Function Request.
+    pub const TASK_MANAGEMENT: u8 = 0x02;
+    /// Login Request.
+    pub const LOGIN: u8 = 0x03;
+    /// Text Request.
+    pub const TEXT: u8 = 0x04;
+    /// SCSI Data-Out.
+    pub const DATA_OUT: u8 = 0x05;
+    /// Logout Request.
+    pub const LOGOUT: u8 = 0x06;
+    /// SNACK Request.
+    pub const SNACK: u8 = 0x10;
+}
+
+/// Opcodes of the target.
+pub mod response {
+    /// NOP-In.
+    pub const NOP_IN: u8 = 0x20;
+    /// SCSI Response.
+    pub const SCSI: u8 = 0x21;
+    /// Task Management Function Response.
+    pub const TASK_MANAGEMENT: u8 = 0x22;
+    /// Login Response.
+    pub const LOGIN: u8 = 0x23;
+    /// Text Response.
+    pub const TEXT: u8 = 0x24;
+    /// SCSI Data-In.
+    pub const DATA_IN: u8 = 0x25;
+    /// Logout Response.
+    pub const LOGOUT: u8 = 0x26;
+    /// Ready To Transfer.
+    pub const R2T: u8 = 0x31;
+    /// Asynchronous Message.
+    pub const ASYNC: u8 = 0x32;
+    /// Reject.
+    pub const REJECT: u8 = 0x3f;
+}
+
+/// Bytes that are no PDU, or one past what was declared.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum PduError {
+    /// The data segment is longer than declared.
+    #[error("a data segment of {0} bytes")]
+    TooLong(usize),
+    /// The header's digest is wrong: nothing in it can be trusted.
+    #[error("header digest error")]
+    HeaderDigest,
+    /// The data's digest is wrong.
+    #[error("data digest error")]
+    DataDigest(Box<[u8; BHS]>),
+}
+
+/// One PDU.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pdu {
+    /// The basic header segment.
+    pub header: [u8; BHS],
+    /// The data segment.
+    pub data: Bytes,
+}
+
+impl Pdu {
+    /// A PDU of the target with the flags byte and the initiator's task tag.
+    pub fn new(opcode: u8, flags: u8, task: u32) -> Pdu {
+        let mut header = [0; BHS];
+        (header[0], header[1]) = (opcode, flags);
+        Pdu { header, data: Bytes::new() }.with(16, task)
+    }
+
+    /// The same with four bytes set.
+    pub fn with(mut self, at: usize, value: u32) -> Pdu {
+        self.header[at..at + 4].copy_from_slice(&value.to_be_bytes());
+        self
+    }
+
+    /// The same with a data segment.
+    pub fn with_data(mut self, data: impl Into<Bytes>) -> Pdu {
+        self.data = data.into();
+        self
+    }
+
+    /// Which kind of PDU.
+    pub fn opcode(&self) -> u8 {
+        self.header[0] & 0x3f
+    }
+
+    /// Whether it is for immediate delivery.
+    pub fn immediate(&self) -> bool {
+        self.header[0] & 0x40 != 0
+    }
+
+    /// The flags byte.
+    pub fn flags(&self) -> u8 {
+        self.header[1]
+    }
+
+    /// The initiator task tag.
+    pub fn task(&self) -> u32 {
+        self.at(16)
+    }
+
+    /// Four bytes of the header.
+    pub fn at(&self, at: usize) -> u32 {
+        self.header[at..at + 4].iter().fold(0, |value, byte| value << 8 | u32::from(*byte))
+    }
+
+    /// The logical unit number, in peripheral or flat addressing; `None` for other forms.
+    pub fn lun(&self) -> Option<u16> {
+        let field = &self.header[8..16];
+        let number = u16::from_be_bytes([field[0] & 0x3f, field[1]]);
+        let form = field[0] >> 6;
+        let known = form == 1 || form == 0 && field[0] == 0;
+        (known && field[2..].iter().all(|b| *b == 0)).then_some(number)
+    }
+}
+
+/// How PDUs lie on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Codec {
+    /// A CRC32C follows each header.
+    pub header_digest: bool,
+    /// A CRC32C follows each data segment.
+    pub data_digest: bool,
+    /// Longest data segment taken.
+    pub longest: usize,
+}
+
+impl Codec {
+    /// The next PDU, if all of it is there.
+    pub fn decode(&self, buffer: &mut BytesMut) -> Result<Option<Pdu>, PduError> {
+        if buffer.len() < BHS {
+            return Ok(None);
+        }
+        let mut header = [0; BHS];
+        header.copy_from_slice(&buffer[..BHS]);
+        let length = usize::from(header[5]) << 16 | usize::from(header[6]) << 8 | usize::from(header[7]);
+        if length > self.longest {
+            return Err(PduError::TooLong(length));
+        }
+        let headers = BHS + usize::from(header[4]) * 4;
+        let digest = |on: bool| if on { 4 } else { 0 };
+        let data_at = headers + digest(self.header_digest);
+        let padded = length.next_multiple_of(4);
+        let end = data_at + padded + digest(self.data_digest && length > 0);
+        if buffer.len() < end {
+            buffer.reserve(end - buffer.len());
+            return Ok(None);
+        }
+        let frame = buffer.split_to(end).freeze();
+        if self.header_digest && frame[headers..data_at] != crc32c::crc32c(&frame[..headers]).to_le_bytes() {
+            return Err(PduError::HeaderDigest);
+        }
+        let data_end = data_at + padded;
+        if end > data_end && frame[data_end..] != crc32c::crc32c(&frame[data_at..data_end]).to_le_bytes() {
+            return Err(PduError::DataDigest(Box::new(header)));
+        }
+        Ok(Some(Pdu { header, data: frame.slice(data_at..data_at + length) }))
+    }
+
+    /// Appends a PDU to what goes out.
+    pub fn encode(&self, pdu: &Pdu, out: &mut BytesMut) {
+        let mut header = pdu.header;
+        header[5..8].copy_from_slice(&(pdu.data.len() as u32).to_be_bytes()[1..]);
+        out.extend_from_slice(&header);
+        if self.header_digest {
+            out.extend_from_slice(&crc32c::crc32c(&header).to_le_bytes());
+        }
+        let from = out.len();
+        out.extend_from_slice(&pdu.data);
+        out.resize(from + pdu.data.len().next_multiple_of(4), 0);
+        if self.data_digest && pdu.data.has_remaining() {
+            let crc = crc32c::crc32c(&out[from..]);
+            out.extend_from_slice(&crc.to_le_bytes());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PLAIN: Codec = Codec { header_digest: false, data_digest: false, longest: 100 };
+    const DIGESTS: Codec = Codec { header_digest: true, data_digest: true, longest: 100 };
+
+    #[test]
+    fn what_is_written_is_read_back_however_it_is_cut() {
+        for codec in [PLAIN, DIGESTS] {
+            let pdu = Pdu::new(response::NOP_IN, 0x80, 7).with(20, NO_TAG).with_data(&b"abcde"[..]);
+            let mut out = BytesMut::new();
+            codec.encode(&pdu, &mut out);
+            let mut buffer = BytesMut::new();
+            for byte in &out[..out.len() - 1] {
+                buffer.extend_from_slice(&[*byte]);
+                assert_eq!(codec.decode(&mut buffer), Ok(None));
+            }
+            buffer.extend_from_slice(&out[out.len() - 1..]);
+            let read = codec.decode(&mut buffer).expect("whole").expect("whole");
+            assert_eq!((read.task(), read.at(20), &read.data[..]), (7, NO_TAG, &b"abcde"[..]));
+            assert!(buffer.is_empty());
+        }
+    }
+
+    #[test]
+    fn a_flipped_bit_and_an_overlong_segment_are_found() {
+        let mut out = BytesMut::new();
+        DIGESTS.encode(&Pdu::new(response::NOP_IN, 0x80, 7).with_data(&b"abcd"[..]), &mut out);
+        let flipped = |at: usize| {
+            let mut copy = out.clone();
+            copy[at] ^= 1;
+            DIGESTS.decode(&mut copy)
+        };
+        assert_eq!(flipped(17), Err(PduError::HeaderDigest));
+        assert!(matches!(flipped(53), Err(PduError::DataDigest(_))));
+        let long = Pdu::new(response::NOP_IN, 0, 0).with_data(vec![0; 101]);
+        let mut out = BytesMut::new();
+        PLAIN.encode(&long, &mut out);
+        assert_eq!(PLAIN.decode(&mut out), Err(PduError::TooLong(101)));
+    }
+
+    #[test]
+    fn the_digest_is_the_standards() {
+        // RFC 7143, appendix: 32 bytes of zeros.
+        assert_eq!(crc32c::crc32c(&[0; 32]).to_le_bytes(), [0xaa, 0x36, 0x91, 0x8a]);
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,3 +1,4 @@
 //! The fronts: each takes requests out of one protocol, has the core serve them and words the answers.
 
+pub mod block;
 pub mod http;
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,8 +18,8 @@
 fn start() -> Result<(), Box<dyn std::error::Error>> {
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no configuration")?;
     let config = Config::load(&path)?;
-    log::info!("daemon: {} listens on {}, discovery at {}", config.name, config.listen, config.discovery);
+    log::info!("daemon: {} starts, discovery at {}", config.name, config.discovery);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    Ok(local.block_on(&runtime, Daemon::new(config).run())?)
+    Ok(local.block_on(&runtime, Daemon::new(config, std::env::var("FLAXGAP_BLOCK").ok()).run())?)
 }
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,392 @@
+//! The stories' peers: scripted bricks, discovery, HTTP clients and initiators, round a real head process.
+#![allow(dead_code)]
+
+pub mod initiator;
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest time that a story waits for anything; only failures take that long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One HTTP message as it came: the first line, the headers (names in lower case) and the body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub line: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// Reads one; `None` where the connection ended before it was whole.
+    pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+        let mut message = Message::default();
+        loop {
+            let mut line = String::new();
+            from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            match line.trim_end() {
+                "" => break,
+                text if message.line.is_empty() => message.line = text.into(),
+                text => {
+                    let (name, value) = text.split_once(':')?;
+                    message.headers.insert(name.to_lowercase(), value.trim().into());
+                }
+            }
+        }
+        let length = message.headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        message.body = vec![0; length];
+        from.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+}
+
+/// What a brick does with a request.
+pub enum Step {
+    Serve(Vec<u8>),
+    /// A status, and whether it says that the request was not run.
+    Status(u16, bool),
+    /// Closes the connection without an answer.
+    Break,
+    /// Closes it in the middle of the answer.
+    BreakMidway,
+    /// Never answers, and says so when the connection is closed from the other side.
+    Silent,
+    /// Does the rest once the time is over.
+    After(Duration, Box<Step>),
+}
+
+/// A storage node that follows a script.
+#[derive(Clone)]
+pub struct Brick {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Message>>>,
+    closed: Arc<AtomicU32>,
+}
+
+impl Brick {
+    /// `script` is called with each request and its number, from 0.
+    pub fn start(script: impl Fn(usize, &Message) -> Step + Send + Sync + 'static) -> Brick {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let brick = Brick { address, seen: Arc::default(), closed: Arc::default() };
+        let (script, shared) = (Arc::new(script), brick.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (script, brick) = (script.clone(), shared.clone());
+                thread::spawn(move || brick.serve(stream, &*script));
+            }
+        });
+        brick
+    }
+
+    fn serve(&self, stream: TcpStream, script: &dyn Fn(usize, &Message) -> Step) {
+        let mut out = stream.try_clone().expect("a handle");
+        let mut from = BufReader::new(stream);
+        while let Some(message) = Message::read(&mut from) {
+            let number = {
+                let mut seen = self.seen.lock().expect("seen");
+                seen.push(message.clone());
+                seen.len() - 1
+            };
+            let mut step = script(number, &message);
+            while let Step::After(time, next) = step {
+                thread::sleep(time);
+                step = *next;
+            }
+            let head = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+            let answer = match step {
+                Step::Serve(body) => [head(body.len()).into_bytes(), body].concat(),
+                Step::Status(status, unprocessed) => {
+                    let note = if unprocessed { "X-Unprocessed: 1\r\n" } else { "" };
+                    format!("HTTP/1.1 {status} No\r\n{note}Content-Length: 0\r\n\r\n").into_bytes()
+                }
+                Step::Break => break,
+                Step::BreakMidway => {
+                    let _ = out.write_all(&[head(10).as_bytes(), b"half"].concat());
+                    break;
+                }
+                Step::Silent | Step::After(..) => {
+                    let _ = from.read(&mut [0; 1]);
+                    break;
+                }
+            };
+            if out.write_all(&answer).is_err() {
+                break;
+            }
+        }
+        self.closed.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub fn seen(&self) -> Vec<Message> {
+        self.seen.lock().expect("seen").clone()
+    }
+
+    /// Waits until that many requests were seen.
+    pub fn wait_for(&self, count: usize) -> Vec<Message> {
+        wait(|| Some(self.seen()).filter(|seen| seen.len() >= count))
+    }
+
+    /// Waits until that many connections have ended.
+    pub fn wait_closed(&self, count: u32) {
+        wait(|| (self.closed.load(Ordering::SeqCst) >= count).then_some(()));
+    }
+}
+
+/// Waits until something holds.
+pub fn wait<O>(mut holds: impl FnMut() -> Option<O>) -> O {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = holds() {
+            return found;
+        }
+        assert!(Instant::now() < end, "it never came to that");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// An entry of the node list.
+pub fn entry(uid: &str, address: SocketAddr, shard: u32, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":{shard},"state":"{state}","boot_ms":0}}"#
+    )
+}
+
+/// Discovery: a list, and changes pushed to every watch.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Discovery {
+    pub fn start(entries: &[String]) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let whole = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(","));
+        let discovery = Discovery { address, lines: Arc::new(Mutex::new(vec![whole])) };
+        let shared = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let discovery = shared.clone();
+                thread::spawn(move || discovery.serve(stream));
+            }
+        });
+        discovery
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut out = stream.try_clone().expect("a handle");
+        let Some(message) = Message::read(&mut BufReader::new(stream)) else { return };
+        let mut sent = 1;
+        if !message.line.contains("follow=1") {
+            let whole = self.lines.lock().expect("lines")[0].clone();
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+            let _ = out.write_all(answer.as_bytes());
+            return;
+        }
+        let mut alive = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_ok();
+        let mut quiet = Instant::now();
+        while alive {
+            let news: Vec<String> = self.lines.lock().expect("lines")[sent..].to_vec();
+            sent += news.len();
+            let beat = quiet.elapsed() > Duration::from_secs(1);
+            if !news.is_empty() || beat {
+                let text: String = news.iter().map(|line| format!("{line}\n")).collect();
+                let text = if beat { format!("{text}\n") } else { text };
+                alive = out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok();
+                quiet = Instant::now();
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Tells every watch of changed entries.
+    pub fn push(&self, entries: &[String]) {
+        let mut lines = self.lines.lock().expect("lines");
+        let rev = lines.len() + 1;
+        lines.push(format!(r#"{{"rev":{rev},"all":false,"targets":[{}]}}"#, entries.join(",")));
+    }
+}
+
+/// The settings of the stories: a read and a write class, a limited and a free plan.
+pub const SETTINGS: &str = r#"{"bounds":{"cancel":true,"conn_idle":15.0,"connect_timeout":0.5,"max_attempts":3,
+ "max_retry_after":2.0,"retry_after":true},
+ "classes":[{"aim":0.4,"deadline":2.0,"idempotency":"safe","late_worth":0.2,"name":"play-fetch","worth":3.0},
+ {"aim":0.4,"deadline":2.0,"group":"cell","idempotency":"keyed","repeat_window":3.0,"name":"episode-save","worth":2.0}],
+ "domain":{"changes_data":[false,true],"cold_units":42.0,"idle_worth":0.08,"unit_mean":2.05,"units_top":8,
+ "use_period":1.0,"within_share":0.35},
+ "guarantees":{"cold_from":0.17,"fall":3.0,"tip_multiple":3.0,"warm_within":16.0},"membership_mode":"push",
+ "n_instances":1,"period":0.002,"report":{"names":["rif"],"source":"answers"},"zones":["a"],
+ "service_levels":[{"base_rate":2.0,"cap_slack":8.0,"limit":4.0,"limit_burst":40.0,"name":"community",
+ "reserve":1.7,"value_factor":0.96,"weight":1.0},
+ {"base_rate":400.0,"name":"network","reserve":400.0,"value_factor":0.9,"weight":3.0}]}"#;
+
+/// The block file of the stories: one unit for each plan, on the volumes that the HTTP clients use.
+pub const BLOCK: &str = r#"
+listen = "127.0.0.1:0"
+target = "iqn.2026-12.invalid.half-way-tree:story"
+block_size = 512
+unit_bytes = 8192
+queue_depth = 8
+max_sessions = 4
+[[lun]]
+lun = 0
+volume = "00000000000000a1"
+plan = "community"
+hosts = 1
+extent_blocks = 128
+extents = [{ first = "0000000000001000", count = 4, shard = 0 }]
+[[lun]]
+lun = 1
+volume = "00000000000000b2"
+plan = "network"
+hosts = 1
+extent_blocks = 128
+extents = [{ first = "0000000000002000", count = 4, shard = 0 }, { first = "0000000000003000", count = 4, shard = 1 }]
+"#;
+
+static HEADS: AtomicU32 = AtomicU32::new(0);
+
+/// The head as a process.
+pub struct Head {
+    child: Child,
+    pub http: SocketAddr,
+    pub block: Option<SocketAddr>,
+    log: Arc<Mutex<Vec<String>>>,
+    folder: std::path::PathBuf,
+}
+
+impl Head {
+    /// Starts one and waits until it is ready.
+    pub fn start(discovery: &Discovery, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
+        let number = HEADS.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"settings":{SETTINGS}}}"#,
+            discovery.address
+        );
+        std::fs::write(folder.join("config.json"), config).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap"));
+        command.env("LB_CONFIG", folder.join("config.json")).env("RUST_LOG", "info").stderr(Stdio::piped());
+        command.env_remove("FLAXGAP_BLOCK").envs(extra.iter().copied());
+        if let Some(block) = block {
+            std::fs::write(folder.join("block.toml"), block).expect("written");
+            command.env("FLAXGAP_BLOCK", folder.join("block.toml"));
+        }
+        let mut child = command.spawn().expect("the head starts");
+        let from = BufReader::new(child.stderr.take().expect("piped"));
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let lines = log.clone();
+        thread::spawn(move || {
+            from.lines().map_while(Result::ok).for_each(|l| lines.lock().expect("log").push(l))
+        });
+        let mut head = Head { child, http: ([127, 0, 0, 1], 0).into(), block: None, log, folder };
+        head.http = head.address("http: listening on ");
+        head.block = block.map(|_| head.address("block: listening on "));
+        wait(|| (get(head.http, "/-/ready").status() == 200).then_some(()));
+        head
+    }
+
+    fn address(&self, after: &str) -> SocketAddr {
+        wait(|| self.logged(after).and_then(|line| line.rsplit(' ').next()?.parse().ok()))
+    }
+
+    /// The first log line with this text, if it has come.
+    pub fn logged(&self, text: &str) -> Option<String> {
+        self.log.lock().expect("log").iter().find(|line| line.contains(text)).cloned()
+    }
+
+    /// One of the head's counters.
+    pub fn counter(&self, name: &str) -> u64 {
+        let body = String::from_utf8(get(self.http, "/-/counters").body).expect("text");
+        let pair = body.split_whitespace().find_map(|pair| pair.strip_prefix(&format!("{name}=")));
+        pair.expect("a counter").parse().expect("a number")
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    /// Waits for its end; whether it was clean.
+    pub fn ended(&mut self) -> bool {
+        wait(|| self.child.try_wait().expect("a child")).success()
+    }
+}
+
+impl Drop for Head {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+        if thread::panicking() {
+            eprintln!("{}", self.log.lock().expect("log").join("\n"));
+        }
+    }
+}
+
+pub fn get(address: SocketAddr, path: &str) -> Message {
+    Client::new(address).ask(&format!("GET {path} HTTP/1.1\r\nHost: head\r\n\r\n"), b"")
+}
+
+static IDS: AtomicU32 = AtomicU32::new(1);
+
+/// One HTTP connection to the head.
+pub struct Client {
+    stream: TcpStream,
+    from: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn new(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("the head listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        Client { from: BufReader::new(stream.try_clone().expect("a handle")), stream }
+    }
+
+    pub fn send(&mut self, head: &str, body: &[u8]) {
+        self.stream.write_all(&[head.as_bytes(), body].concat()).expect("written");
+    }
+
+    /// The answer; `None` if the connection ended without a whole one.
+    pub fn answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.from)
+    }
+
+    pub fn ask(&mut self, head: &str, body: &[u8]) -> Message {
+        self.send(head, body);
+        self.answer().expect("an answer")
+    }
+
+    /// A request of a class for the volume of a plan, in units.
+    pub fn request(class: &str, plan: &str, units: u32, left: f64, length: usize) -> String {
+        let id = IDS.fetch_add(1, Ordering::SeqCst);
+        let (method, key) = match class {
+            "play-fetch" => ("GET", String::new()),
+            _ => ("PUT", format!("Idempotency-Key: key-{id}\r\nContent-Length: {length}\r\n")),
+        };
+        let volume = if plan == "community" { 0xa1 } else { 0xb2 };
+        format!(
+            "{method} /{class}/{volume:016x}/{:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: {id:016x}\r\n\
+             X-Qos-Policy: {plan}\r\nX-Time-Left: {left}\r\nX-Placement: units={units},shard=0,hosts=1\r\n{key}\r\n",
+            0x1000 + id
+        )
+    }
+}
--- /dev/null
+++ b/tests/stories_http.rs
@@ -0,0 +1,143 @@
+//! The HTTP front round the core: one story for each failure that has to be met.
+
+mod peers;
+use peers::*;
+use std::time::{Duration, Instant};
+
+fn read(left: f64) -> String {
+    Client::request("play-fetch", "network", 1, left, 0)
+}
+
+fn write(body: &[u8]) -> String {
+    Client::request("episode-save", "network", 1, 3.0, body.len())
+}
+
+fn one(brick: &Brick) -> (Discovery, Head) {
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let head = Head::start(&discovery, None, &[]);
+    (discovery, head)
+}
+
+#[test]
+fn what_a_client_sends_reaches_the_brick_unchanged_and_its_body_comes_back() {
+    let brick = Brick::start(|_, _| Step::Serve(b"the programme".to_vec()));
+    let (_discovery, head) = one(&brick);
+    let mut client = Client::new(head.http);
+    let sent = write(b"a new episode");
+    let answer = client.ask(&sent, b"a new episode");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"the programme"[..]));
+    assert_eq!(client.ask(&read(2.0), b"").status(), 200, "on the same connection");
+    let mut seen = brick.seen().remove(0);
+    for (name, value) in [("x-time-left", "LEFT"), ("host", "BRICK")] {
+        assert!(seen.headers.insert(name.into(), value.into()).is_some());
+    }
+    assert_eq!(Some(&*seen.line), sent.lines().next());
+    for (name, value) in
+        seen.headers.iter_mut().filter(|(n, _)| *n == "x-correlation-id" || n.starts_with("idem"))
+    {
+        let passed = sent.lines().any(|line| line.to_lowercase() == format!("{name}: {value}"));
+        *value = if passed { "AS SENT".into() } else { value.clone() };
+    }
+    seen.line =
+        seen.line.split(' ').map(|p| if p.len() > 40 { "PATH" } else { p }).collect::<Vec<_>>().join(" ");
+    seen.body = vec![];
+    insta::assert_debug_snapshot!(seen);
+    assert_eq!(brick.seen()[0].body, b"a new episode");
+    assert_eq!(head.counter("node_connections"), 1, "the second went over the first's connection");
+}
+
+#[test]
+fn an_attempt_that_may_have_run_is_repeated_only_where_the_class_allows_it() {
+    let brick = Brick::start(|number, _| match number {
+        0 => Step::BreakMidway,
+        1 => Step::Status(503, true),
+        2 => Step::Status(500, false),
+        _ => Step::Serve(b"at last".to_vec()),
+    });
+    let (_discovery, head) = one(&brick);
+    let mut client = Client::new(head.http);
+    assert_eq!(client.ask(&read(3.0), b"").status(), 503, "three attempts are the most");
+    assert_eq!(client.ask(&read(3.0), b"").body, b"at last");
+    let ids: Vec<String> = brick.seen().iter().map(|m| m.header("x-correlation-id").into()).collect();
+    assert!(ids[0] == ids[1] && ids[1] == ids[2] && ids[2] != ids[3]);
+    assert_eq!(["reset", "full", "error", "ok"].map(|name| head.counter(name)), [1; 4]);
+}
+
+#[test]
+fn a_silent_brick_is_given_up_at_the_deadline_by_closing_the_connection() {
+    let brick = Brick::start(|_, _| Step::Silent);
+    let (_discovery, head) = one(&brick);
+    let asked = Instant::now();
+    let answer = Client::new(head.http).ask(&read(0.4), b"");
+    assert_eq!(answer.status(), 503, "a read may be repeated");
+    assert!(asked.elapsed() >= Duration::from_millis(390));
+    brick.wait_closed(1);
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let brick = Brick::start(|_, _| Step::Silent);
+    let (_discovery, head) = one(&brick);
+    let mut client = Client::new(head.http);
+    client.send(&read(3.0), b"");
+    brick.wait_for(1);
+    drop(client);
+    brick.wait_closed(1);
+    wait(|| (head.counter("gone") == 1).then_some(()));
+    assert_eq!(brick.seen().len(), 1, "nothing is sent twice");
+}
+
+#[test]
+fn nothing_new_goes_to_a_brick_that_drains() {
+    let old = Brick::start(|_, _| Step::Serve(b"old".to_vec()));
+    let new = Brick::start(|_, _| Step::Serve(b"new".to_vec()));
+    let (discovery, head) = one(&old);
+    let mut client = Client::new(head.http);
+    assert_eq!(client.ask(&read(2.0), b"").body, b"old");
+    discovery.push(&[entry("s-1", old.address, 0, "draining"), entry("s-2", new.address, 0, "ready")]);
+    wait(|| (head.counter("list_changes") == 2).then_some(()));
+    for _ in 0..5 {
+        assert_eq!(client.ask(&read(2.0), b"").body, b"new");
+    }
+    assert_eq!(old.seen().len(), 1);
+}
+
+#[test]
+fn bad_input_is_answered_with_400_and_counted() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let (_discovery, head) = one(&brick);
+    let good = read(2.0);
+    let bad = [
+        good.replace("X-Time-Left: 2", "X-Time-Left: NaN"),
+        good.replace("units=1", "units=-1"),
+        good.replace("shard=0", "shard=99999999999"),
+        good.replace("/play-fetch/", "/nobody/"),
+        good.replace("network", "no-plan"),
+        good.replace("X-Correlation-Id", "X-Other"),
+        good.replace("GET", "DELETE"),
+        good.replace(" /play-fetch/", " /play-fetch/0/"),
+    ];
+    for text in &bad {
+        assert_eq!(Client::new(head.http).ask(text, b"").status(), 400, "{text}");
+    }
+    assert_eq!(head.counter("bad_input"), bad.len() as u64);
+    assert_eq!((brick.seen().len(), Client::new(head.http).ask(&good, b"").status()), (0, 200));
+}
+
+#[test]
+fn after_sigterm_what_was_taken_is_answered_and_new_connections_are_served() {
+    let brick =
+        Brick::start(|_, _| Step::After(Duration::from_millis(300), Box::new(Step::Serve(b"kept".to_vec()))));
+    let (_discovery, mut head) = one(&brick);
+    let mut before = Client::new(head.http);
+    before.send(&read(3.0), b"");
+    brick.wait_for(1);
+    head.signal("-TERM");
+    wait(|| head.logged("Draining"));
+    let after = Client::new(head.http).ask(&read(3.0), b"");
+    for answer in [before.answer().expect("an answer"), after] {
+        assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    }
+    assert!(head.ended());
+    assert!(head.logged("counters: taken=2 served=2").is_some());
+}
