Answer work that its limit or repeat window rules out at once, with the wait

Lines at fault: src/logic.rs expire/answer, the only way out for a request that standing() never lets go. Now give_up() answers when neither in-time nor late work can pass the limit before the deadline, or a repeat window has ended; come_again() is the wait. Also: taken and further grew without end where no budget is set; they are kept only where one is. A Retry-After past an hour is cut to one.

--- a/src/core.rs
+++ b/src/core.rs
@@ -20,6 +20,9 @@
 /// Past a deadline, how long the module's answer is still awaited before the head words one itself.
 const OVERDUE: Duration = Duration::from_millis(20);
 
+/// Longest wait that a client is told, in seconds.
+const LONGEST_WAIT: f64 = 3600.0;
+
 /// A monotonic clock whose figures are Unix time, read once at the start: what other machines say in
 /// Unix time (a node's last start) needs no conversion, and the figures never run backwards.
 #[derive(Clone, Copy, Debug)]
@@ -146,6 +149,10 @@
     Failed,
 }
 
+fn refused(wait: f64) -> Answer {
+    Answer::Refused { wait: wait.clamp(0.0, LONGEST_WAIT) }
+}
+
 /// The module's word on one request.
 enum Choice {
     Send { attempt: usize, node: NodeId, abandon_at: f64 },
@@ -288,7 +295,7 @@
                         Err(later) => {
                             self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled));
                             match later {
-                                Some(Choice::Refuse { wait }) => break Answer::Refused { wait },
+                                Some(Choice::Refuse { wait }) => break refused(wait),
                                 Some(Choice::Fail) => break Answer::Failed,
                                 _ => {}
                             }
@@ -296,7 +303,7 @@
                     }
                 }
                 Choice::Cancel => {}
-                Choice::Refuse { wait } => break Answer::Refused { wait },
+                Choice::Refuse { wait } => break refused(wait),
                 Choice::Fail => break Answer::Failed,
             }
         };
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -97,29 +97,25 @@
 
     /// Rule 2: whether a refusal, which tells the client that a repeat is harmless, may be given.
     fn may_refuse(&self, repeat: Repeat) -> bool {
-        match repeat {
-            Repeat::Safe | Repeat::Keyed { group: RepeatGroup::All, .. } => true,
-            Repeat::Keyed { .. } | Repeat::Unsafe => self.may_have_run().next().is_none(),
-        }
+        let free = matches!(repeat, Repeat::Safe | Repeat::Keyed { group: RepeatGroup::All, .. });
+        free || self.may_have_run().next().is_none()
+    }
+
+    /// Rule 2: when the time for another attempt ends.
+    fn window_end(&self, repeat: Repeat) -> f64 {
+        let Repeat::Keyed { window, .. } = repeat else { return f64::INFINITY };
+        self.may_have_run().map(|a| a.at + window).fold(f64::INFINITY, f64::min)
     }
 
     /// Rule 2: whether another attempt may go to this node now. Two are never out at once.
     fn may_send(&self, repeat: Repeat, to: &NodeInfo, now: f64, margin: f64) -> bool {
-        if self.out() {
-            return false;
-        }
-        self.may_have_run().all(|a| match repeat {
-            Repeat::Safe => true,
+        let allowed = |a: &Attempt| match repeat {
+            Repeat::Safe | Repeat::Keyed { group: RepeatGroup::All, .. } => true,
             Repeat::Unsafe => false,
-            Repeat::Keyed { group, window } => {
-                let same = match group {
-                    RepeatGroup::All => true,
-                    RepeatGroup::Zone => a.zone == to.zone,
-                    RepeatGroup::Shard => a.shard == to.shard,
-                };
-                same && now + margin < a.at + window
-            }
-        })
+            Repeat::Keyed { group: RepeatGroup::Zone, .. } => a.zone == to.zone,
+            Repeat::Keyed { group: RepeatGroup::Shard, .. } => a.shard == to.shard,
+        };
+        !self.out() && now + margin < self.window_end(repeat) && self.may_have_run().all(allowed)
     }
 }
 
@@ -234,8 +230,7 @@
         } else if per_unit <= NEAR_BEST * self.best && self.was_full {
             self.window = (self.window + 1.0).min(WINDOW_MAX);
         }
-        self.sample = (0.0, 0.0, 0);
-        self.was_full = false;
+        (self.sample, self.was_full) = ((0.0, 0.0, 0), false);
     }
 
     /// Guards against a node that is down, unreachable or full: one request at a time after a pause
@@ -317,6 +312,7 @@
         self.expire(actions);
         self.blocked_until = f64::INFINITY;
         self.dispatch(actions);
+        self.give_up(actions);
         if let Some(at) = self.ask_at.filter(|at| self.now >= *at) {
             actions.push(Action::WatchNodes);
             self.ask_at = Some(at + self.set.ask_every.unwrap_or(ASK_MAX));
@@ -346,17 +342,16 @@
     }
 
     fn follow_list(&mut self, kind: ListKind, nodes: &[NodeInfo]) {
-        if kind == ListKind::Failed {
+        let asks = self.set.ask_every.is_some();
+        if kind == ListKind::Failed && asks {
             // Renewed with backoff: the list service fails when all hosts ask at once.
-            if self.set.ask_every.is_some() {
-                self.ask_at = Some(self.now + self.ask_pause * (0.5 + self.chance()));
-                self.ask_pause = (self.ask_pause * 2.0).min(ASK_MAX);
-            }
-            return;
+            self.ask_at = Some(self.now + self.ask_pause * (0.5 + self.chance()));
+            self.ask_pause = (self.ask_pause * 2.0).min(ASK_MAX);
+        } else if kind != ListKind::Cached && asks {
+            (self.ask_at, self.ask_pause) = (None, ASK_FIRST);
         }
-        if kind != ListKind::Cached && self.set.ask_every.is_some() {
-            self.ask_at = None;
-            self.ask_pause = ASK_FIRST;
+        if kind == ListKind::Failed {
+            return;
         }
         if kind != ListKind::Changes {
             self.lanes.values_mut().for_each(|lane| lane.nodes.clear());
@@ -380,15 +375,9 @@
 
     /// New objects held before a node that went away go to another.
     fn place_again(&mut self) {
-        let lost: Vec<RequestId> = self
-            .lanes
-            .values()
-            .filter(|lane| lane.target.is_none())
-            .flat_map(|lane| lane.queues.iter().flatten())
-            .filter(|id| self.held[id].ask.shard.is_none())
-            .copied()
-            .collect();
-        for id in lost {
+        let lost = self.lanes.values().filter(|l| l.target.is_none()).flat_map(|l| l.queues.iter().flatten());
+        let lost = lost.filter(|id| self.held[id].ask.shard.is_none()).copied();
+        for id in lost.collect::<Vec<_>>() {
             self.unqueue(id);
             self.enqueue(id);
         }
@@ -398,13 +387,13 @@
         if self.held.contains_key(&ask.id) {
             return;
         }
-        self.taken.push_back(self.now);
+        self.taken.extend(self.set.budget.map(|_| self.now));
         let Some(class) = self.set.classes.get(ask.class.0).filter(|_| ask.remaining > 0.0) else {
             return actions.push(Action::Refuse { request: ask.id, wait: 0.0 });
         };
         let deadline = self.now + ask.remaining;
-        let spent = if ask.repeat { (class.deadline - ask.remaining).max(0.0) } else { 0.0 };
-        let aim_at = self.now + class.aim - spent;
+        // Not every site marks repeats: who waits for less than the class's time has waited before.
+        let aim_at = class.aim + self.now.min(deadline - class.deadline);
         let mut ask = ask.clone();
         ask.units = if ask.units > 0.0 { ask.units } else { 0.0 };
         if let Some(extent) = ask.extent.filter(|_| class.in_order) {
@@ -431,15 +420,12 @@
     }
 
     fn enqueue(&mut self, id: RequestId) {
-        let shard = match self.held[&id].ask.shard {
-            Some(shard) => shard,
-            None => self.place(),
-        };
+        let shard = self.held[&id].ask.shard;
+        let shard = shard.unwrap_or_else(|| self.place());
         let class = self.held[&id].ask.class.0;
         self.lane(shard).queues[class].push(id);
         if let Some(held) = self.held.get_mut(&id) {
-            held.lane = shard;
-            held.queued = true;
+            (held.lane, held.queued) = (shard, true);
         }
     }
 
@@ -484,8 +470,7 @@
         let fresh = || Volume { hosts, limit, reserve, at };
         let volume = self.volumes.entry(ask.volume).or_insert_with(fresh);
         if hosts > volume.hosts {
-            volume.limit = volume.limit.min(limit);
-            volume.hosts = hosts;
+            (volume.limit, volume.hosts) = (volume.limit.min(limit), hosts);
         }
     }
 
@@ -493,8 +478,7 @@
     fn refill(&mut self, id: VolumeId, plan: PlanId) -> Option<(&mut Volume, Option<Limit>)> {
         let plan = self.set.plans.get(plan.0)?;
         let volume = self.volumes.get_mut(&id)?;
-        let passed = self.now - volume.at;
-        volume.at = self.now;
+        let passed = self.now - std::mem::replace(&mut volume.at, self.now);
         if let Some(l) = plan.limit {
             volume.limit =
                 (volume.limit + passed * l.rate / volume.hosts).min((1.0 - CUSHION) * l.burst / volume.hosts);
@@ -514,13 +498,58 @@
         }
     }
 
+    /// Answers at once what is certain not to be sent in time: a repeat past its window, and work that
+    /// its volume's limit lets pass neither before it is late nor, being late, before its deadline.
+    fn give_up(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let queued = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id);
+        for id in queued.collect::<Vec<_>>() {
+            let (held, class) = (&self.held[&id], self.held[&id].ask.class.0);
+            let (deadline, first) = (held.deadline, held.attempts.is_empty());
+            let ends = held.window_end(self.set.classes[class].repeat);
+            let late_at = held.aim_at - self.lanes[&held.lane].latency[class];
+            let next = if first && late_at > now { late_at.min(ends) } else { ends };
+            self.blocked_until = self.blocked_until.min(next);
+            let in_time = late_at > now && now + self.limit_in(id, false) <= late_at;
+            let never = first && !in_time && now + self.limit_in(id, true) > deadline;
+            if never || now + self.set.tick >= ends {
+                self.answer(id, actions);
+            }
+        }
+    }
+
+    /// When a refused client should come again, in seconds: once the limit has its units, the lane is
+    /// open, and a node's present latency has passed.
+    fn come_again(&mut self, id: RequestId) -> f64 {
+        let lane = &self.lanes[&self.held[&id].lane];
+        let node = (lane.closed_until - self.now).max(lane.latency_now(self.now, self.weather));
+        let node = if lane.target.is_some() { node } else { BACKOFF_MAX };
+        self.limit_in(id, false).max(node)
+    }
+
+    /// Rule 5: seconds until a first send fits its volume's limit, if none of the volume's goes before.
+    fn limit_in(&mut self, id: RequestId, late: bool) -> f64 {
+        let ask = &self.held[&id].ask;
+        let (class, units, volume, plan) = (ask.class.0, ask.units, ask.volume, ask.plan);
+        let stores = self.refill(volume, plan).map(|(v, l)| (v.limit, l, 1.0 / v.hosts));
+        let Some((store, Some(limit), part)) = stores else { return 0.0 };
+        // Kept for worthier work to come: of the store for late work, else what comes in within an aim.
+        let most = self.set.classes.iter().map(|c| c.worth).fold(1e-9, f64::max);
+        let class = &self.set.classes[class];
+        let kept = match late {
+            true => (1.0 - class.late_worth.min(1.0)) * (1.0 - CUSHION) * limit.burst,
+            false => (1.0 - class.worth / most) * self.tightest * limit.rate,
+        };
+        ((units + kept * part - store + 0.01) / (limit.rate * part)).max(0.0)
+    }
+
     /// Ends a request unserved: a refusal where rule 2 allows one, a failure otherwise.
     fn answer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get(&id) else { return };
         let refuse = held.may_refuse(self.set.classes[held.ask.class.0].repeat);
         self.cancel(id, actions);
         actions.push(match refuse {
-            true => Action::Refuse { request: id, wait: 0.0 },
+            true => Action::Refuse { request: id, wait: self.come_again(id) },
             false => Action::Fail { request: id },
         });
         let waited = self.held.get(&id).map_or(0.0, |h| self.now - h.arrived);
@@ -545,11 +574,10 @@
             return;
         }
         if let Some(extent) = held.ask.extent.filter(|_| self.set.classes[held.ask.class.0].in_order) {
-            if let Some((line, rest)) = self.order.get_mut(&extent) {
-                line.retain(|other| *other != id);
-                if line.is_empty() && *rest <= self.now {
-                    self.order.remove(&extent);
-                }
+            let Some((line, rest)) = self.order.get_mut(&extent) else { return };
+            line.retain(|other| *other != id);
+            if line.is_empty() && *rest <= self.now {
+                self.order.remove(&extent);
             }
         }
         self.held.remove(&id);
@@ -568,21 +596,19 @@
         &mut self,
         id: RequestId,
         number: usize,
-        ended: (Outcome, f64, bool),
+        end: (Outcome, f64, bool),
         actions: &mut Vec<Action>,
     ) {
-        let (outcome, elapsed, done) = ended;
-        let now = self.now;
+        let ((outcome, elapsed, done), now) = (end, self.now);
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(attempt) = held.attempts.get_mut(number).filter(|a| a.outcome.is_none()) else { return };
         attempt.outcome = Some(outcome);
         let (shard, epoch, sent_at) = (attempt.shard, attempt.epoch, attempt.at);
         let (class, units, arrived) = (held.ask.class.0, held.ask.units, held.arrived);
-        let ordered = held.ask.extent.filter(|_| self.set.classes[class].in_order);
-        if outcome.may_still_run() {
-            if let Some((_, rest)) = ordered.and_then(|extent| self.order.get_mut(&extent)) {
-                *rest = rest.max(now + self.set.order_pause);
-            }
+        let rests = outcome.may_still_run() && self.set.classes[class].in_order;
+        let ordered = held.ask.extent.filter(|_| rests);
+        if let Some((_, rest)) = ordered.and_then(|extent| self.order.get_mut(&extent)) {
+            *rest = rest.max(now + self.set.order_pause);
         }
         let memory = self.set.cold.warm_within.max(TICK);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Timeout) {
@@ -635,12 +661,8 @@
     fn budget_left(&mut self) -> bool {
         let Some(budget) = self.set.budget else { return true };
         let from = self.now - budget.window;
-        while self.taken.front().is_some_and(|at| *at <= from + self.set.tick) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|at| *at < from - self.set.tick) {
-            self.further.pop_front();
-        }
+        self.taken.retain(|at| *at > from + self.set.tick);
+        self.further.retain(|at| *at >= from - self.set.tick);
         (self.further.len() + 1) as f64 <= budget.free + budget.share * self.taken.len() as f64
     }
 
@@ -704,8 +726,7 @@
     /// so its band and its order there.
     fn standing(&mut self, shard: ShardId, id: RequestId) -> Option<(u8, f64)> {
         let (volume, plan) = (self.held[&id].ask.volume, self.held[&id].ask.plan);
-        let stores = self.refill(volume, plan).map(|(v, l)| (v.reserve, v.limit, l, 1.0 / v.hosts));
-        let (reserve, store, limit, part) = stores.unwrap_or((-1.0, 0.0, None, 1.0));
+        let reserve = self.refill(volume, plan).map_or(-1.0, |(v, _)| v.reserve);
         let (held, lane) = (&self.held[&id], &self.lanes[&shard]);
         let (now, tick, units) = (self.now, self.set.tick, held.ask.units);
         let class = &self.set.classes[held.ask.class.0];
@@ -761,34 +782,24 @@
         if !held.attempts.is_empty() {
             return self.budget_left().then_some(standing);
         }
-        if let Some(limit) = limit {
-            // Kept for worthier work to come: of the store for late work, else what comes in within an aim.
-            let most = self.set.classes.iter().map(|c| c.worth).fold(1e-9, f64::max);
-            let kept = match late {
-                true => (1.0 - class.late_worth.min(1.0)) * (1.0 - CUSHION) * limit.burst,
-                false => (1.0 - class.worth / most) * self.tightest * limit.rate,
-            };
-            let missing = units + kept * part - store + 0.01;
-            if missing > 0.0 {
-                self.blocked_until = self.blocked_until.min(now + missing / (limit.rate * part));
-                return None;
-            }
+        let wait = self.limit_in(id, late);
+        if wait > 0.0 {
+            self.blocked_until = self.blocked_until.min(now + wait);
+            return None;
         }
         Some(standing)
     }
 
     fn send(&mut self, shard: ShardId, picked: Picked, actions: &mut Vec<Action>) {
         let Picked { band, class, place, .. } = picked;
-        let weight = self.classes[class].weight;
-        let now = self.now;
+        let (now, weight) = (self.now, self.classes[class].weight);
         let Some(lane) = self.lanes.get_mut(&shard) else { return };
         let Some(target) = lane.target.clone() else { return };
         let id = lane.queues[class].remove(place);
         let Some(held) = self.held.get_mut(&id) else { return };
         let units = held.ask.units;
         let start = lane.finish[class].max(lane.virtual_time);
-        lane.virtual_time = start;
-        lane.finish[class] = start + units / weight;
+        (lane.virtual_time, lane.finish[class]) = (start, start + units / weight);
         if band != RESERVED {
             let plan_weight = self.set.plans.get(held.ask.plan.0).map_or(1.0, |p| p.weight.max(0.01));
             let tag = lane.volume_finish.entry(held.ask.volume).or_insert(0.0);
@@ -805,7 +816,7 @@
         actions.push(Action::Send { request: id, node: target.node, abandon_at: held.deadline });
         let (volume, plan) = (held.ask.volume, held.ask.plan);
         if !first {
-            self.further.push_back(now);
+            self.further.extend(self.set.budget.map(|_| now));
         } else if let Some((volume, _)) = self.refill(volume, plan) {
             volume.reserve = (volume.reserve - units).max(0.0);
             volume.limit -= units;
@@ -814,12 +825,10 @@
 
     /// A sampling tick; every few of them, the weights are adapted.
     fn tick(&mut self) {
-        for class in &mut self.classes {
-            if class.tick.1 > 0 {
-                let mean = class.tick.0 / f64::from(class.tick.1);
-                class.samples = (class.samples.0 + mean, class.samples.1 + 1);
-                class.tick = (0.0, 0);
-            }
+        for class in self.classes.iter_mut().filter(|c| c.tick.1 > 0) {
+            let mean = class.tick.0 / f64::from(class.tick.1);
+            class.samples = (class.samples.0 + mean, class.samples.1 + 1);
+            class.tick = (0.0, 0);
         }
         self.ticks_left -= 1;
         if self.ticks_left == 0 {
@@ -831,23 +840,18 @@
 
     /// One adaptation: the worst underweight class is given what overweight ones can spare.
     fn adapt(&mut self) -> bool {
-        for class in &mut self.classes {
-            if class.samples.1 > 0 {
-                let mean = class.samples.0 / f64::from(class.samples.1);
-                let delay = class.delay.map_or(mean, |past| ALPHA * past + (1.0 - ALPHA) * mean);
-                class.samples = (0.0, 0);
-                class.delay = Some(delay);
-                let first = delay / class.weight;
-                if let Some((weight, past)) = class.fitted {
-                    let (moved, changed) = ((class.weight - weight).abs(), (delay - past).abs());
-                    if moved > MOVED * weight && changed > MOVED * past {
-                        class.slope = Some((changed / moved).max(SLOPE_FLOOR * first));
-                        class.fitted = Some((class.weight, delay));
-                    }
-                } else {
-                    class.slope = Some(first);
-                    class.fitted = Some((class.weight, delay));
-                }
+        for class in self.classes.iter_mut().filter(|c| c.samples.1 > 0) {
+            let mean = class.samples.0 / f64::from(class.samples.1);
+            let delay = class.delay.map_or(mean, |past| ALPHA * past + (1.0 - ALPHA) * mean);
+            class.samples = (0.0, 0);
+            class.delay = Some(delay);
+            let first = delay / class.weight;
+            // Before the first fit this is the first guess: delay over share.
+            let (weight, past) = class.fitted.unwrap_or_default();
+            let (moved, changed) = ((class.weight - weight).abs(), (delay - past).abs());
+            if moved > MOVED * weight && changed > MOVED * past {
+                class.slope = Some((changed / moved).max(SLOPE_FLOOR * first));
+                class.fitted = Some((class.weight, delay));
             }
         }
         let aims = || self.set.classes.iter().map(|c| c.aim);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -304,3 +304,60 @@
         "{much}: under half of what the rule allows at 0.7 of 40 a second"
     );
 }
+
+/// The advice of each refusal.
+fn advice(actions: &[Action]) -> Vec<f64> {
+    let waits = actions.iter().filter_map(|a| match a {
+        Action::Refuse { wait, .. } => Some(*wait),
+        _ => None,
+    });
+    waits.collect()
+}
+
+// Guards against holding to its deadline what the volume's limit can't let pass before it.
+#[test]
+fn work_that_its_limit_rules_out_is_refused_at_once_with_the_wait() {
+    let mut rig = Rig::new(settings());
+    let limited = |id, units| Request { plan: LIMITED, units, remaining: 1.0, ..request(id, SAFE) };
+    assert_eq!(sent(&rig.ask(limited(1, 10.0))), [1], "a start has its part of the cushion and the slack");
+    let out = rig.ask(limited(2, 8.0));
+    assert_eq!(refused(&out), [2]);
+    let wait = advice(&out)[0];
+    assert!((1.0..1.5).contains(&wait), "6 units a second fill 7.5 units in {wait} s");
+    rig.outcome(1, 0, Outcome::Ok, 0.05);
+    rig.now += wait + 0.002;
+    assert_eq!(sent(&rig.ask(limited(3, 8.0))), [3], "the advice was honest");
+}
+
+#[test]
+fn work_with_a_real_chance_waits_for_its_limit() {
+    let mut rig = Rig::new(settings());
+    let limited = |id, units| Request { plan: LIMITED, units, ..request(id, SAFE) };
+    assert_eq!(sent(&rig.ask(limited(1, 10.0))), [1]);
+    rig.outcome(1, 0, Outcome::Ok, 0.05);
+    let held = rig.ask(limited(2, 1.0));
+    assert!(sent(&held).is_empty() && refused(&held).is_empty());
+    assert_eq!(sent(&rig.wait(0.19)), [2], "before it would be late");
+}
+
+// Guards against holding a keyed repeat whose window ends while no node is there to take it.
+#[test]
+fn a_repeat_past_its_window_fails_at_once() {
+    let mut rig = Rig::new(settings());
+    assert_eq!(sent(&rig.ask(request(1, KEYED))), [1]);
+    rig.list(ListKind::Whole, vec![]);
+    rig.now += 0.1;
+    assert!(failed(&rig.outcome(1, 0, Outcome::Reset, 0.1)).is_empty(), "a node may still come");
+    assert!(failed(&rig.wait(0.89)).is_empty());
+    assert_eq!(failed(&rig.wait(0.02)), [1], "1 s after the send, and 1 s before the deadline");
+}
+
+// Guards against giving a client's unmarked retry the place of a fresh request.
+#[test]
+fn a_client_that_has_waited_before_is_as_late_as_it_is() {
+    let mut rig = Rig::new(settings());
+    let mut retry = request(1, SAFE);
+    (retry.plan, retry.remaining) = (LIMITED, 0.5);
+    assert!(sent(&rig.ask(retry)).is_empty(), "late work leaves the store to what is still in time");
+    assert_eq!(sent(&rig.ask(Request { plan: LIMITED, ..request(2, SAFE) })), [2]);
+}
--- a/tests/stories_block.rs
+++ b/tests/stories_block.rs
@@ -257,7 +257,9 @@
     let (mut http, mut blocks, started) = ([0u32; 2], [0u32; 2], std::time::Instant::now());
     let mut advice = (Vec::new(), Vec::new());
     for round in 0..4 {
-        // The limit's store goes to whoever comes first, so the fronts take turns at that.
+        // The limit's store goes to whoever comes first, so the fronts take turns at that, and each turn
+        // finds what came in since the last.
+        std::thread::sleep(Duration::from_millis(1200));
         for http_now in [round % 2 == 0, round % 2 != 0] {
             let taken = head.counter("taken");
             for client in &mut clients {
@@ -291,6 +293,8 @@
     assert!(http[0] > 0 && blocks[0] > 0 && http[1] > 0 && blocks[1] > 0, "{http:?} {blocks:?}");
     let allowed = 40.0 + 8.0 + 4.0 * started.elapsed().as_secs_f64();
     assert!(2.0 * f64::from(http[0] + blocks[0]) <= allowed, "the plan's limit holds for both together");
+    assert!(advice.0.iter().all(|wait| (0.001..10.0).contains(wait)), "{advice:?}");
+    assert!(advice.1.iter().all(|steps| (1..100).contains(steps)), "{advice:?}");
     assert_eq!(u64::from(http[1] + blocks[1]), head.counter("refused"));
     assert_eq!(u64::from(blocks[1]), head.counter("block_busy"));
 }
