Give up late work that was not sent by 45% of its time

A probe that logged what stood in the way of each of 987 refusals: 655 came after half the time unsent; 581 of them wait for the limit to let late work pass (1.0 to 1.2 s for a store that newer work drains), 60 for a pressed node, 14 for the window. Ruled out: closed lanes and missing nodes (none). Lines at fault: src/logic.rs give_up, which measured the limit against the deadline only. A late answer earns 10 to 20%, so past half its time waiting costs the client more than it may earn. PATIENCE is 45%, so that the refusal is out before the half.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,6 +59,8 @@
 const BACKOFF_MAX: f64 = 1.0;
 const ASK_FIRST: f64 = 0.5;
 const ASK_MAX: f64 = 8.0;
+/// Part of its time that late work waits for its first send: later, a refusal costs more than it may earn.
+const PATIENCE: f64 = 0.45;
 /// Ticks of the caller's clock before a client's deadline at which a held request is answered.
 const ANSWER_TICKS: f64 = 2.0;
 
@@ -462,13 +464,12 @@
     fn know_volume(&mut self, ask: &Request) {
         let hosts = f64::from(ask.hosts.max(1));
         let plan = self.set.plans.get(ask.plan.0);
-        let at = self.started;
         let reserve = plan.map_or(0.0, |p| p.reserve + self.set.most_units);
         // Rule 5: an earlier life of this host may have spent its part up to the start of this one, so a
         // start gets only its part of what all hosts leave unspent: the cushion, and the slack.
         let limit = plan.and_then(|p| p.limit).map_or(0.0, |l| (CUSHION * l.burst + l.slack) / hosts);
-        let fresh = || Volume { hosts, limit, reserve, at };
-        let volume = self.volumes.entry(ask.volume).or_insert_with(fresh);
+        let fresh = Volume { hosts, limit, reserve, at: self.started };
+        let volume = self.volumes.entry(ask.volume).or_insert(fresh);
         if hosts > volume.hosts {
             (volume.limit, volume.hosts) = (volume.limit.min(limit), hosts);
         }
@@ -498,20 +499,20 @@
         }
     }
 
-    /// Answers at once what is certain not to be sent in time: a repeat past its window, and work that
-    /// its volume's limit lets pass neither before it is late nor, being late, before its deadline.
+    /// Answers at once what will not be sent in time: a repeat past its window, and work that its volume's
+    /// limit lets pass neither before it is late nor, being late, within `PATIENCE` of its time.
     fn give_up(&mut self, actions: &mut Vec<Action>) {
-        let now = self.now;
         let queued = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id);
         for id in queued.collect::<Vec<_>>() {
-            let (held, class) = (&self.held[&id], self.held[&id].ask.class.0);
-            let (deadline, first) = (held.deadline, held.attempts.is_empty());
+            let (held, now) = (&self.held[&id], self.now);
+            let (class, first) = (held.ask.class.0, held.attempts.is_empty());
             let ends = held.window_end(self.set.classes[class].repeat);
             let late_at = held.aim_at - self.lanes[&held.lane].latency[class];
-            let next = if first && late_at > now { late_at.min(ends) } else { ends };
-            self.blocked_until = self.blocked_until.min(next);
+            let last = held.arrived + PATIENCE * (held.deadline - held.arrived);
+            let next = if late_at > now { late_at } else { last };
+            self.blocked_until = self.blocked_until.min(if first { next.min(ends) } else { ends });
             let in_time = late_at > now && now + self.limit_in(id, false) <= late_at;
-            let never = first && !in_time && now + self.limit_in(id, true) > deadline;
+            let never = first && !in_time && now + self.limit_in(id, true) > last;
             if never || now + self.set.tick >= ends {
                 self.answer(id, actions);
             }
@@ -832,8 +833,7 @@
         }
         self.ticks_left -= 1;
         if self.ticks_left == 0 {
-            let changed = self.adapt();
-            self.interval = if changed { (self.interval * 2).min(SETTLE_TICKS) } else { ADAPT_TICKS };
+            self.interval = if self.adapt() { (self.interval * 2).min(SETTLE_TICKS) } else { ADAPT_TICKS };
             self.ticks_left = self.interval;
         }
     }
