Send counters to Graphite and collectd, and add a bounded plug-in hook

All three are off unless FLAXGAP_OPS names a file that holds them. Conclusion: observers are called by serve() and have no way back into it.

--- a/src/core.rs
+++ b/src/core.rs
@@ -20,6 +20,14 @@
 /// Past a deadline, how long the module's answer is still awaited before the head words one itself.
 const OVERDUE: Duration = Duration::from_millis(20);
 
+/// Sees requests and answers go by, and decides nothing.
+pub trait Observer {
+    /// A request was taken.
+    fn taken(&self, call: &Call);
+    /// It got its answer.
+    fn answered(&self, call: &Call, answer: &Answer, after: Duration);
+}
+
 /// Longest wait that a client is told, in seconds.
 const LONGEST_WAIT: f64 = 3600.0;
 
@@ -181,6 +189,7 @@
     clock: Clock,
     woken: Notify,
     counters: Rc<Counters>,
+    observer: RefCell<Option<Rc<dyn Observer>>>,
 }
 
 impl Dispatcher {
@@ -194,7 +203,13 @@
         let scheduler = Scheduler::new(settings, seed, clock.now())?;
         let (mailboxes, wakes) = (HashMap::new(), BinaryHeap::new());
         let state = RefCell::new(State { scheduler, mailboxes, wakes, next_id: 0 });
-        Ok(Rc::new(Dispatcher { state, clock, woken: Notify::new(), counters }))
+        let (woken, observer) = (Notify::new(), RefCell::new(None));
+        Ok(Rc::new(Dispatcher { state, clock, woken, counters, observer }))
+    }
+
+    /// Has an observer see all requests from now on.
+    pub fn observe(&self, observer: Rc<dyn Observer>) {
+        self.observer.replace(Some(observer));
     }
 
     /// The clock that the module's figures are on.
@@ -262,7 +277,11 @@
     /// One request's life, from its taking to its one final answer. Dropping it tells the module that
     /// the client has gone.
     pub async fn serve<T: Transport>(self: &Rc<Self>, transport: &T, call: Call) -> Answer {
-        let mut ticket = self.take(&call);
+        let (mut ticket, taken_at) = (self.take(&call), Instant::now());
+        let observer = self.observer.borrow().clone();
+        if let Some(observer) = &observer {
+            observer.taken(&call);
+        }
         let last = call.deadline + OVERDUE;
         let answer = loop {
             let choice = match timeout_at(last, ticket.mail.recv()).await {
@@ -308,6 +327,9 @@
             }
         };
         ticket.answered = true;
+        if let Some(observer) = &observer {
+            observer.answered(&call, &answer, taken_at.elapsed());
+        }
         match answer {
             Answer::Served(_) => self.counters.served.add(),
             Answer::Refused { .. } => self.counters.refused.add(),
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -82,6 +82,8 @@
     block_task_set_full,
     /// PDUs of the block front that were rejected.
     block_rejects,
+    /// Calls of the plug-in that went wrong.
+    plugin_failures,
     /// Idle connections closed because descriptors ran short.
     reclaimed,
     /// Changes of the node list that were taken in.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,10 +5,13 @@
 use crate::counters::Counters;
 use crate::descriptors::Budget;
 use crate::discovery::{Directory, List};
+use crate::export;
 use crate::front::block::BlockFront;
 use crate::front::block::config::{BlockConfigError, Target};
 use crate::front::http::HttpFront;
 use crate::node::Nodes;
+use crate::ops::Ops;
+use crate::plugin::{Plugin, PluginError};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -119,6 +122,9 @@
     /// The block file can't be served.
     #[error(transparent)]
     Block(#[from] BlockConfigError),
+    /// The plug-in can't be used.
+    #[error(transparent)]
+    Plugin(#[from] PluginError),
     /// Settings that can't be served.
     #[error(transparent)]
     Settings(#[from] crate::api::SettingsError),
@@ -128,20 +134,21 @@
 pub struct Daemon {
     config: Config,
     block: Option<String>,
+    ops: Ops,
     phases: Rc<Phases>,
     counters: Rc<Counters>,
 }
 
 impl Daemon {
     /// A program that has not started yet. `block` names the block front's file; without it, that front
-    /// is off.
-    pub fn new(config: Config, block: Option<String>) -> Daemon {
-        Daemon { config, block, phases: Rc::default(), counters: Rc::default() }
+    /// is off, as is all that `ops` does not hold.
+    pub fn new(config: Config, block: Option<String>, ops: Ops) -> Daemon {
+        Daemon { config, block, ops, phases: Rc::default(), counters: Rc::default() }
     }
 
     /// Runs until SIGTERM or SIGINT has been served to its end. Needs a local task set.
     pub async fn run(self) -> Result<(), DaemonError> {
-        let Daemon { config, block, phases, counters } = self;
+        let Daemon { config, block, ops, phases, counters } = self;
         let (mut terminate, mut interrupt) = (
             signal(SignalKind::terminate()).map_err(DaemonError::Signals)?,
             signal(SignalKind::interrupt()).map_err(DaemonError::Signals)?,
@@ -164,6 +171,15 @@
             spawn_local(front.listen(listener));
         }
 
+        if let Some(to) = ops.graphite {
+            spawn_local(export::to_graphite(to, counters.clone()));
+        }
+        if let Some(to) = ops.collectd {
+            spawn_local(export::to_collectd(to, counters.clone()));
+        }
+        if let Some(config) = ops.plugin {
+            dispatcher.observe(Rc::new(Plugin::load(&config, counters.clone())?));
+        }
         let front = Rc::new(HttpFront {
             dispatcher: dispatcher.clone(),
             transport: nodes.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,8 +73,11 @@
 pub mod daemon;
 pub mod descriptors;
 pub mod discovery;
+pub mod export;
 pub mod front;
 mod logic;
 pub mod node;
+pub mod ops;
+pub mod plugin;
 
 pub use logic::Scheduler;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use flaxgap::config::Config;
 use flaxgap::daemon::Daemon;
+use flaxgap::ops::Ops;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -19,7 +20,13 @@
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no configuration")?;
     let config = Config::load(&path)?;
     log::info!("daemon: {} starts, discovery at {}", config.name, config.discovery);
+    let ops = named("FLAXGAP_OPS").map(|path| Ops::load(&path)).transpose()?.unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    Ok(local.block_on(&runtime, Daemon::new(config, std::env::var("FLAXGAP_BLOCK").ok()).run())?)
+    Ok(local.block_on(&runtime, Daemon::new(config, named("FLAXGAP_BLOCK"), ops).run())?)
+}
+
+/// The file that a variable names; a variable that is not set, or empty, leaves its part off.
+fn named(variable: &str) -> Option<String> {
+    std::env::var(variable).ok().filter(|path| !path.is_empty())
 }
--- /dev/null
+++ b/tests/stories_ops.rs
@@ -0,0 +1,101 @@
+//! Counters out, and the plug-in hook, against stand-ins.
+
+mod peers;
+use flaxgap::counters::Counters;
+use flaxgap::export::{collectd_lines, graphite_lines};
+use peers::*;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
+use std::os::unix::net::UnixListener;
+
+fn ops(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("flaxgap-ops-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    path
+}
+
+fn start(brick: &Brick, name: &str, text: &str) -> (Discovery, Head) {
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let path = ops(name, text);
+    let head = Head::start(&discovery, None, &[("FLAXGAP_OPS", path.to_str().expect("a path"))]);
+    std::fs::remove_file(path).expect("removed");
+    (discovery, head)
+}
+
+fn ask(head: &Head) -> u16 {
+    Client::new(head.http).ask(&Client::request("play-fetch", "network", 1, 2.0, 0), b"").status()
+}
+
+#[test]
+fn the_formats_are_those_of_the_collectors() {
+    let counters = Counters::default();
+    counters.taken.add();
+    insta::assert_snapshot!(format!(
+        "{}{}",
+        graphite_lines(&counters, "half-way-tree.n0", 1_700_000_000),
+        collectd_lines(&counters, "n0", 10.0).concat()
+    ));
+}
+
+#[test]
+fn graphite_gets_the_counters_again_after_its_connection_broke() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let graphite = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = graphite.local_addr().expect("an address");
+    let text = format!("[graphite]\naddress = \"{address}\"\nprefix = \"p.n0\"\ninterval = 0.1\n");
+    let (_discovery, head) = start(&brick, "graphite", &text);
+    assert_eq!(ask(&head), 200);
+    for _ in 0..2 {
+        let (stream, _) = graphite.accept().expect("the head comes");
+        let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+        assert!(lines.any(|line| line.starts_with("p.n0.served 1 ")), "then the connection is closed");
+    }
+}
+
+#[test]
+fn collectd_gets_a_putval_for_each_counter_and_is_heard() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let socket = std::env::temp_dir().join(format!("flaxgap-collectd-{}", std::process::id()));
+    let collectd = UnixListener::bind(&socket).expect("a socket");
+    let text = format!("[collectd]\nsocket = {socket:?}\nhost = \"n0\"\ninterval = 0.1\n");
+    let (_discovery, head) = start(&brick, "collectd", &text);
+    let (stream, _) = collectd.accept().expect("the head comes");
+    let mut out = stream.try_clone().expect("a handle");
+    let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+    assert_eq!(lines.next().as_deref(), Some("PUTVAL \"n0/flaxgap/derive-taken\" interval=0.1 N:0"));
+    out.write_all(b"0 Success: 1 value has been dispatched.\n").expect("written");
+    assert!(lines.next().expect("the next value").contains("derive-served"));
+    out.write_all(b"-1 No such type.\n").expect("written");
+    assert!(lines.next().is_none(), "given up for this time");
+    wait(|| head.logged("turned down: -1 No such type."));
+    std::fs::remove_file(socket).expect("removed");
+}
+
+#[test]
+fn a_script_sees_requests_and_answers_and_can_neither_decide_nor_run_on() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let script = ops(
+        "script",
+        "fn on_request(r) { if r.class == 0 { print(`seen ${r.volume} ${r.units}`) } loop { } }
+         fn on_answer(r) { this.count = (this.count ?? 0) + 1; print(`answer ${this.count} ${r.answer}`); \"refuse\" }",
+    );
+    let text = format!("[plugin]\nscript = {script:?}\nmax_steps = 500\nmax_size = 64\n");
+    let (_discovery, head) = start(&brick, "plugin", &text);
+    for _ in 0..2 {
+        assert_eq!(ask(&head), 200);
+    }
+    wait(|| head.logged("seen 00000000000000b2 1.0"));
+    wait(|| head.logged("answer 2 served"));
+    assert_eq!(head.counter("plugin_failures"), 2, "the loop was cut short each time");
+    let greedy = ops("greedy", "fn on_request(r) { this.all = \"\"; loop { this.all += \"0123456789\"; } }");
+    let text = format!("[plugin]\nscript = {greedy:?}\nmax_steps = 100000\nmax_size = 64\n");
+    let (_discovery, head) = start(&brick, "plugin-greedy", &text);
+    for _ in 0..12 {
+        assert_eq!(ask(&head), 200);
+    }
+    assert_eq!(head.counter("plugin_failures"), 10, "and then it is switched off");
+    assert!(head.logged("switched off").is_some());
+    for path in [script, greedy] {
+        std::fs::remove_file(path).expect("removed");
+    }
+}
