Serve connections accepted late in a shutdown, and take descriptors before accepting

Seen: reading the shutdown path against the rule that a request is taken once written to our machine: a connection admitted after idle ones were told to close is closed by hyper before its first read, and a connection accepted without a free descriptor slot was dropped with its request. Lines at fault: front/http.rs admit (graceful_shutdown at once; slot asked for after accept). Now a new connection has 300 ms for its first request, a slot is held before accept, and a fifth of the budget is kept for nodes. The list's length is bounded; a part of the program that breaks down ends it.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::config::Config;
 use crate::core::{Clock, Dispatcher};
 use crate::counters::Counters;
-use crate::descriptors::Budget;
+use crate::descriptors::{Budget, Side};
 use crate::discovery::{Directory, List};
 use crate::export;
 use crate::front::block::BlockFront;
@@ -116,6 +116,9 @@
     /// The listener can't be opened.
     #[error("listen on {0}: {1}")]
     Listen(SocketAddr, io::Error),
+    /// A part that runs as long as the program has ended.
+    #[error("{0} broke down")]
+    Broken(&'static str),
     /// Signals can't be waited for.
     #[error("signals: {0}")]
     Signals(io::Error),
@@ -188,9 +191,9 @@
             budget,
             counters: counters.clone(),
         });
-        spawn_local(async move { dispatcher.keep_time().await });
-        spawn_local(async move { nodes.sweep().await });
-        spawn_local(obtain_list(directory, config.known, config.discovery, phases.clone()));
+        let keep_time = spawn_local(async move { dispatcher.keep_time().await });
+        let sweep = spawn_local(async move { nodes.sweep().await });
+        let list = spawn_local(obtain_list(directory, config.known, config.discovery, phases.clone()));
 
         let told = async {
             loop {
@@ -204,6 +207,10 @@
         tokio::select! {
             () = front.clone().listen(&listener) => {}
             () = told => {}
+            // None of these ends unless it panics; a head without them would only look alive.
+            _ = keep_time => return Err(DaemonError::Broken("the clock")),
+            _ = sweep => return Err(DaemonError::Broken("the pools")),
+            _ = list => return Err(DaemonError::Broken("the node list")),
         }
 
         phases.enter(Phase::Draining);
@@ -218,8 +225,9 @@
             () = sleep_until(started + KEEP_ACCEPTING) => {}
         }
         // What the system has accepted for us counts as taken.
-        while let Ok(Ok((stream, _))) = timeout_at(Instant::now(), listener.accept()).await {
-            front.admit(stream);
+        while let Some(slot) = front.budget.slot(Side::Client) {
+            let Ok(Ok((stream, _))) = timeout_at(Instant::now(), listener.accept()).await else { break };
+            front.admit(stream, slot);
         }
         drop(listener);
         if timeout_at(end, phases.all_closed()).await.is_err() {
--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -5,9 +5,25 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Descriptors kept free for the listeners, discovery, the log and what the runtime needs.
 const KEPT: usize = 40;
+/// Part of the rest that connections from clients leave to those to nodes: a client that can't be served
+/// gains nothing by being let in.
+const FOR_NODES: usize = 5;
+
+/// Which side a connection is to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// From a client or an initiator.
+    Client,
+    /// To a node.
+    Node,
+}
+
+/// Pause before a slot is asked for again.
+const PAUSE: Duration = Duration::from_millis(5);
 
 type Close = Box<dyn FnOnce()>;
 
@@ -30,14 +46,29 @@
 
     /// A slot for a connection about to be opened or just accepted. When all are taken, the connection
     /// idle longest is told to close; `None` if there is none to close.
-    pub fn slot(self: &Rc<Self>) -> Option<Slot> {
-        if self.open.get() >= self.limit && !self.reclaim() {
+    pub fn slot(self: &Rc<Self>, side: Side) -> Option<Slot> {
+        let limit = match side {
+            Side::Client => self.limit - self.limit / FOR_NODES,
+            Side::Node => self.limit,
+        };
+        if self.open.get() >= limit && !self.reclaim() {
             return None;
         }
         self.open.set(self.open.get() + 1);
         Some(Slot { budget: self.clone(), turn: Cell::new(None) })
     }
 
+    /// Waits for a client's slot. Taken before its connection is accepted, since one that is accepted has to
+    /// be served.
+    pub async fn client_slot(self: &Rc<Self>) -> Slot {
+        loop {
+            match self.slot(Side::Client) {
+                Some(slot) => return slot,
+                None => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
     /// Closes the connection idle longest; whether there was one.
     pub fn reclaim(&self) -> bool {
         let first = self.idle.borrow_mut().pop_first();
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::counters::Counters;
 use crate::node::{Nodes, Place};
 use bytes::{Buf, Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
@@ -52,6 +52,9 @@
     /// A list that can't be read.
     #[error("list: {0}")]
     List(#[from] serde_json::Error),
+    /// The list broke off, or is past any sensible length.
+    #[error("list: {0}")]
+    Body(String),
     /// A line past any sensible length.
     #[error("a line of over {LONGEST_LINE} bytes")]
     TooLong,
@@ -173,7 +176,8 @@
     pub async fn fetch(&self, address: SocketAddr) -> Result<(), DiscoveryError> {
         let call = async {
             let (response, guard) = get(address, "/api/targets".into()).await?;
-            let body = response.into_body().collect().await?.to_bytes();
+            let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
+            let body = body.map_err(|problem| DiscoveryError::Body(problem.to_string()))?.to_bytes();
             drop(guard);
             Ok::<_, DiscoveryError>(body)
         };
--- a/src/front/block/mod.rs
+++ b/src/front/block/mod.rs
@@ -138,6 +138,7 @@
     /// Accepts initiators for as long as it is polled.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         loop {
+            let slot = self.budget.client_slot().await;
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(problem) => {
@@ -147,10 +148,6 @@
                     continue;
                 }
             };
-            let Some(slot) = self.budget.slot() else {
-                log::warn!("block: out of descriptors, a connection is turned away");
-                continue;
-            };
             let (front, guard) = (self.clone(), self.phases.connection());
             tokio::task::spawn_local(async move {
                 let _held = (slot, guard);
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -23,12 +23,14 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Longest body that is taken; the protocol allows 64 KiB.
 const LONGEST_BODY: usize = 256 * 1024;
 /// Pause after the system would not give a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How long a new connection may wait with its first request once the program ends.
+const FIRST_REQUEST: Duration = Duration::from_millis(300);
 /// Longest time that a client may say it waits, in seconds.
 const LONGEST_WAIT: f64 = 3600.0;
 
@@ -225,11 +227,12 @@
         })
     }
 
-    /// Accepts clients until told to stop, then hands the listener back.
+    /// Accepts clients for as long as it is polled.
     pub async fn listen(self: Rc<Self>, listener: &TcpListener) {
         loop {
+            let slot = self.budget.client_slot().await;
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream),
+                Ok((stream, _)) => self.admit(stream, slot),
                 Err(problem) => {
                     // Never the end of the program: a descriptor is freed, or the client has left.
                     log::warn!("http: accept: {problem}");
@@ -241,12 +244,8 @@
     }
 
     /// Serves one connection in a task of its own.
-    pub fn admit(self: &Rc<Self>, stream: TcpStream) {
+    pub fn admit(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         self.counters.client_connections.add();
-        let Some(slot) = self.budget.slot() else {
-            log::warn!("http: out of descriptors, a connection is turned away");
-            return;
-        };
         if let Err(problem) = stream.set_nodelay(true) {
             log::debug!("http: {problem}");
         }
@@ -260,12 +259,20 @@
             let io = TokioIo::new(stream);
             let mut connection =
                 std::pin::pin!(http1::Builder::new().serve_connection(io, TowerToHyperService::new(service)));
-            let mut told = false;
+            // Told to close before it has read anything, hyper closes at once: a request that came with a
+            // late connection, written but not yet read, would be lost.
+            let opened = Instant::now();
+            let end = async {
+                let _ = closing.wait_for(|closing| *closing).await;
+                sleep_until(opened + FIRST_REQUEST).await;
+            };
+            let (mut end, mut told) = (std::pin::pin!(end), false);
             let ended = loop {
                 tokio::select! {
+                    biased;
                     ended = connection.as_mut() => break ended,
                     () = close.notified(), if !told => {}
-                    _ = closing.wait_for(|closing| *closing), if !told => {}
+                    () = end.as_mut(), if !told => {}
                 }
                 told = true;
                 connection.as_mut().graceful_shutdown();
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,7 +6,7 @@
 use crate::api::*;
 use crate::core::{Envelope, Reply, Transport, Verb, seconds};
 use crate::counters::Counters;
-use crate::descriptors::{Budget, Slot};
+use crate::descriptors::{Budget, Side, Slot};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, SizeHint};
@@ -282,7 +282,7 @@
     }
 
     async fn connect(&self, address: SocketAddr, until: Instant) -> Option<Link> {
-        let slot = self.budget.slot()?;
+        let slot = self.budget.slot(Side::Node)?;
         let until = until.min(Instant::now() + self.connect_timeout);
         self.counters.node_connections.add();
         let stream = match timeout_at(until, TcpStream::connect(address)).await {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -273,12 +273,22 @@
 impl Head {
     /// Starts one and waits until it is ready.
     pub fn start(discovery: &Discovery, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
+        Head::start_with(discovery, block, extra, 1024)
+    }
+
+    /// The same with a limit on descriptors.
+    pub fn start_with(
+        discovery: &Discovery,
+        block: Option<&str>,
+        extra: &[(&str, &str)],
+        sockets: usize,
+    ) -> Head {
         let number = HEADS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"settings":{SETTINGS}}}"#,
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"settings":{SETTINGS}}}"#,
             discovery.address
         );
         std::fs::write(folder.join("config.json"), config).expect("written");
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -141,3 +141,53 @@
     assert!(head.ended());
     assert!(head.logged("counters: taken=2 served=2").is_some());
 }
+
+/// Guards against closing, unread, what was accepted late: its request was taken once it was written.
+#[test]
+fn a_connection_accepted_after_the_idle_ones_were_closed_is_still_served() {
+    use flaxgap::{
+        config, core, counters::Counters, daemon, descriptors, front::http::HttpFront, node::Nodes,
+    };
+    use std::rc::Rc;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (settings, notes) = config::read(SETTINGS.as_bytes()).expect("settings");
+        let counters = Rc::new(Counters::default());
+        let budget = descriptors::Budget::new(100, counters.clone());
+        let phases = Rc::new(daemon::Phases::default());
+        let front = Rc::new(HttpFront {
+            dispatcher: core::Dispatcher::new(settings, 1, core::Clock::start(), counters.clone())
+                .expect("served"),
+            transport: Nodes::new(budget.clone(), counters.clone(), 0.25, 15.0),
+            notes,
+            phases: phases.clone(),
+            budget: budget.clone(),
+            counters,
+        });
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let asked = std::thread::spawn(move || get(address, "/-/healthy"));
+        let (stream, _) = listener.accept().await.expect("the client");
+        stream.readable().await.expect("the request");
+        phases.enter(daemon::Phase::Draining);
+        phases.close_idle();
+        front.admit(stream, budget.client_slot().await);
+        phases.all_closed().await;
+        let answer = asked.join().expect("answered");
+        assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    });
+}
+
+/// Guards against running out of descriptors: the connection idle longest makes room.
+#[test]
+fn short_of_descriptors_the_longest_idle_connection_is_closed() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let head = Head::start_with(&discovery, None, &[], 60);
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::new(head.http)).collect();
+    for client in &mut clients[30..] {
+        assert_eq!(client.ask(&read(3.0), b"").status(), 200);
+    }
+    assert!(clients[0].answer().is_none(), "closed");
+    assert!(head.counter("reclaimed") >= 20);
+}
