Tell block initiators the residual of writes; stories for silence, known list, shutdown

Seen: reviewing the block front, a write whose expected length is past its transfer length got GOOD with no residual (session.rs finish looked at reads only), and the expected length was lost after an R2T (session.rs data passed the transfer length on). A command's figures are now one value kept to its end. Stories added: a watch cut off in silence, a start without discovery, a write to a node that is down (it never ran, so it is refused with a wait), a session at the end of the program.

--- a/src/front/block/session.rs
+++ b/src/front/block/session.rs
@@ -131,14 +131,19 @@
 struct Finished {
     task: u32,
     expected_length: usize,
-    verb: Option<Verb>,
     result: Ended,
 }
 
 enum Ended {
-    Good(Bytes),
+    /// Done: the data of a read, and the bytes that the command moved either way.
+    Good {
+        data: Bytes,
+        moved: usize,
+    },
     Check(Sense),
-    Refused { wait: f64 },
+    Refused {
+        wait: f64,
+    },
     Full,
 }
 
@@ -148,13 +153,23 @@
     Served(AbortHandle),
 }
 
-struct Receiving {
+/// A command that moves blocks.
+#[derive(Clone, Copy)]
+struct Work {
+    task: u32,
+    lun: u16,
+    command: u32,
+    verb: Verb,
     place: Place,
+    deadline: Instant,
+    expected_length: usize,
+}
+
+/// A write whose data are not whole yet.
+struct Receiving {
+    work: Work,
     lun_field: [u8; 8],
-    number: u16,
-    command: u32,
     data: BytesMut,
-    deadline: Instant,
     transfer: u32,
     burst_end: usize,
     data_number: u32,
@@ -272,7 +287,7 @@
 
     fn first_deadline(&self) -> Option<Instant> {
         let receiving = self.tasks.values().filter_map(|task| match task {
-            Task::Receiving(receiving) => Some(receiving.deadline),
+            Task::Receiving(receiving) => Some(receiving.work.deadline),
             Task::Served(_) => None,
         });
         receiving.min()
@@ -281,16 +296,13 @@
     /// Ends writes whose data never came whole; nothing of them was sent.
     async fn give_up_data(&mut self) -> Result<(), SessionError> {
         let now = Instant::now();
-        let late =
-            self.tasks.iter().filter(|(_, task)| matches!(task, Task::Receiving(r) if r.deadline <= now));
+        let late = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| matches!(task, Task::Receiving(r) if r.work.deadline <= now));
         for task in late.map(|(task, _)| *task).collect::<Vec<_>>() {
-            self.finish(Finished {
-                task,
-                expected_length: 0,
-                verb: None,
-                result: Ended::Check(scsi::DATA_PHASE),
-            })
-            .await?;
+            let result = Ended::Check(scsi::DATA_PHASE);
+            self.finish(Finished { task, expected_length: 0, result }).await?;
         }
         Ok(())
     }
@@ -379,7 +391,7 @@
             self.immediate.insert(task);
         }
         if self.tasks.len() >= self.front.target.queue_depth as usize {
-            let finished = Finished { task, expected_length, verb: None, result: Ended::Full };
+            let finished = Finished { task, expected_length, result: Ended::Full };
             return self.finish(finished).await;
         }
         let unsolicited = pdu.data.len();
@@ -393,54 +405,41 @@
             return self.protocol_error(&pdu, "unsolicited data that were not agreed").await.map(|_| ());
         }
         let number = pdu.lun();
-        let end = |verb, result| Finished { task, expected_length, verb, result };
+        let end = |result| Finished { task, expected_length, result };
         match scsi::command(&cdb, &self.front.target, number) {
-            Err(sense) => self.finish(end(None, Ended::Check(sense))).await,
-            Ok(Command::Here(data)) => self.finish(end(Some(Verb::Read), Ended::Good(data.into()))).await,
+            Err(sense) => self.finish(end(Ended::Check(sense))).await,
+            Ok(Command::Here(data)) => {
+                let moved = data.len();
+                self.finish(end(Ended::Good { data: data.into(), moved })).await
+            }
             Ok(Command::Blocks(verb, place)) => {
                 let class = &self.front.target.classes[usize::from(verb == Verb::Write)];
                 let deadline = arrived + seconds(class.2);
-                let (number, command) = (number.unwrap_or(0), pdu.at(24));
+                let (lun, command) = (number.unwrap_or(0), pdu.at(24));
                 let direction = if verb == Verb::Write { 0x20 } else { 0x40 };
                 if flags & direction == 0 || verb == Verb::Write && expected_length < place.length {
-                    return self.finish(end(None, Ended::Check(scsi::INVALID_FIELD))).await;
+                    return self.finish(end(Ended::Check(scsi::INVALID_FIELD))).await;
                 }
+                let work = Work { task, lun, command, verb, place, deadline, expected_length };
                 if verb == Verb::Read {
-                    self.start(task, number, command, verb, place, Bytes::new(), deadline, expected_length);
+                    self.start(work, Bytes::new());
                     return Ok(());
                 }
                 let mut lun_field = [0; 8];
                 lun_field.copy_from_slice(&pdu.header[8..16]);
                 let data = BytesMut::from(&pdu.data[..unsolicited.min(place.length)]);
-                let receiving = Receiving {
-                    place,
-                    lun_field,
-                    number,
-                    command,
-                    data,
-                    deadline,
-                    transfer: NO_TAG,
-                    burst_end: 0,
-                    data_number: 0,
-                    requests: 0,
-                };
-                self.receive(task, receiving, expected_length).await
+                let (transfer, burst_end, data_number, requests) = (NO_TAG, 0, 0, 0);
+                self.receive(Receiving { work, lun_field, data, transfer, burst_end, data_number, requests })
+                    .await
             }
         }
     }
 
     /// Hands a write whose data are whole to the core, or asks for the next burst.
-    async fn receive(
-        &mut self,
-        task: u32,
-        mut receiving: Receiving,
-        expected_length: usize,
-    ) -> Result<(), SessionError> {
-        let (place, have) = (receiving.place, receiving.data.len());
+    async fn receive(&mut self, mut receiving: Receiving) -> Result<(), SessionError> {
+        let (Work { task, place, .. }, have) = (receiving.work, receiving.data.len());
         if have == place.length {
-            let Receiving { number, command, data, deadline, .. } = receiving;
-            let data = data.freeze();
-            self.start(task, number, command, Verb::Write, place, data, deadline, expected_length);
+            self.start(receiving.work, receiving.data.freeze());
             return Ok(());
         }
         let length = (place.length - have).min(self.params.max_burst);
@@ -485,8 +484,7 @@
             return self.protocol_error(&pdu, "a burst of another length than asked for").await;
         }
         if last {
-            let length = receiving.place.length;
-            self.receive(task, receiving, length).await?;
+            self.receive(receiving).await?;
         } else {
             self.tasks.insert(task, Task::Receiving(receiving));
         }
@@ -494,18 +492,8 @@
     }
 
     /// Has the core serve a command, as one request within one extent.
-    #[allow(clippy::too_many_arguments)]
-    fn start(
-        &mut self,
-        task: u32,
-        number: u16,
-        command: u32,
-        verb: Verb,
-        place: Place,
-        payload: Bytes,
-        deadline: Instant,
-        expected_length: usize,
-    ) {
+    fn start(&mut self, work: Work, payload: Bytes) {
+        let Work { task, lun: number, command, verb, place, deadline, expected_length } = work;
         let front = self.front.clone();
         let Some(lun) = front.target.lun(number) else { return };
         let (class, class_name, _) = &front.target.classes[usize::from(verb == Verb::Write)];
@@ -531,11 +519,12 @@
         };
         let abort = self.running.spawn_local(async move {
             let result = match front.dispatcher.serve(&*front.transport, call).await {
-                Answer::Served(body) if verb == Verb::Write => {
-                    drop(body);
-                    Ended::Good(Bytes::new())
+                Answer::Served(_) if verb == Verb::Write => {
+                    Ended::Good { data: Bytes::new(), moved: place.length }
+                }
+                Answer::Served(data) if data.len() == place.length => {
+                    Ended::Good { data, moved: place.length }
                 }
-                Answer::Served(body) if body.len() == place.length => Ended::Good(body),
                 Answer::Served(body) => {
                     log::warn!("block: {} bytes for a read of {}", body.len(), place.length);
                     Ended::Check(scsi::READ_ERROR)
@@ -543,24 +532,24 @@
                 Answer::Refused { wait } => Ended::Refused { wait },
                 Answer::Failed => Ended::Check(scsi::NO_ANSWER),
             };
-            Finished { task, expected_length, verb: Some(verb), result }
+            Finished { task, expected_length, result }
         });
         self.tasks.insert(task, Task::Served(abort));
     }
 
     /// Words a command's end.
     async fn finish(&mut self, finished: Finished) -> Result<(), SessionError> {
-        let Finished { task, expected_length, verb, result } = finished;
+        let Finished { task, expected_length, result } = finished;
         self.tasks.remove(&task);
         self.close_task(task);
         let mut pdus = Vec::new();
         let mut answer = Pdu::new(response::SCSI, 0x80, task);
         match result {
-            Ended::Good(data) => {
+            Ended::Good { data, moved } => {
                 let sent = data.len().min(expected_length);
-                let residual = data.len().abs_diff(expected_length);
-                if verb == Some(Verb::Read) && residual > 0 {
-                    answer.header[1] |= if data.len() > expected_length { 0x04 } else { 0x02 };
+                let residual = moved.abs_diff(expected_length);
+                if residual > 0 {
+                    answer.header[1] |= if moved > expected_length { 0x04 } else { 0x02 };
                     answer = answer.with(44, residual as u32);
                 }
                 pdus = self.data_in(task, &data.slice(..sent));
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -170,6 +170,7 @@
 pub struct Discovery {
     pub address: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
+    mute: Arc<std::sync::atomic::AtomicBool>,
 }
 
 impl Discovery {
@@ -177,7 +178,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let whole = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(","));
-        let discovery = Discovery { address, lines: Arc::new(Mutex::new(vec![whole])) };
+        let discovery = Discovery { address, lines: Arc::new(Mutex::new(vec![whole])), mute: Arc::default() };
         let shared = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -200,6 +201,9 @@
         }
         let mut alive = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_ok();
         let mut quiet = Instant::now();
+        while self.mute.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(50));
+        }
         while alive {
             let news: Vec<String> = self.lines.lock().expect("lines")[sent..].to_vec();
             sent += news.len();
@@ -214,6 +218,16 @@
         }
     }
 
+    /// Has watches stay silent, or no longer.
+    pub fn mute(&self, mute: bool) {
+        self.mute.store(mute, Ordering::SeqCst);
+    }
+
+    /// The whole list as it was at the start.
+    pub fn whole(&self) -> String {
+        self.lines.lock().expect("lines")[0].clone()
+    }
+
     /// Tells every watch of changed entries.
     pub fn push(&self, entries: &[String]) {
         let mut lines = self.lines.lock().expect("lines");
@@ -273,22 +287,23 @@
 impl Head {
     /// Starts one and waits until it is ready.
     pub fn start(discovery: &Discovery, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
-        Head::start_with(discovery, block, extra, 1024)
+        Head::start_with(discovery, block, extra, 1024, "null")
     }
 
-    /// The same with a limit on descriptors.
+    /// The same with a limit on descriptors, and a list from an earlier life.
     pub fn start_with(
         discovery: &Discovery,
         block: Option<&str>,
         extra: &[(&str, &str)],
         sockets: usize,
+        known: &str,
     ) -> Head {
         let number = HEADS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"settings":{SETTINGS}}}"#,
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#,
             discovery.address
         );
         std::fs::write(folder.join("config.json"), config).expect("written");
--- a/tests/stories_block.rs
+++ b/tests/stories_block.rs
@@ -104,6 +104,11 @@
     initiator.data_out(&second, 0, 2560, &bytes[2560..], true);
     assert_eq!(initiator.receive().status(), (0, vec![]));
 
+    // An initiator that expects to send more than the command takes is told of the rest.
+    initiator.command(1, WRITE, 1024, &cdb10(0x2a, 0, 1), &[3; 1024]);
+    let end = initiator.receive();
+    assert_eq!((end.status().0, end.header[1], end.at(44)), (0, 0x82, 512));
+
     let seen = right.wait_for(2);
     assert_eq!(
         seen[0].line,
@@ -114,8 +119,8 @@
         "PUT /episode-save/00000000000000b2/0000000000003000?offset=0&length=4096 HTTP/1.1"
     );
     assert_eq!((&seen[1].body, seen[1].header("idempotency-key").is_empty()), (&bytes, false));
-    assert!(left.seen().is_empty());
-    assert_eq!((head.counter("taken"), head.counter("block_commands")), (2, 2));
+    assert_eq!(left.seen()[0].body, [3; 512]);
+    assert_eq!((head.counter("taken"), head.counter("block_commands")), (3, 3));
 }
 
 #[test]
@@ -298,3 +303,19 @@
     assert_eq!(u64::from(http[1] + blocks[1]), head.counter("refused"));
     assert_eq!(u64::from(blocks[1]), head.counter("block_busy"));
 }
+
+#[test]
+fn at_the_end_a_session_gets_its_answer_and_is_asked_to_log_out() {
+    let slow = Duration::from_millis(900);
+    let brick = Brick::start(move |_, m| Step::After(slow, Box::new(blocks(m))));
+    let (_discovery, mut head, block) = head(&[&brick]);
+    let mut initiator = Initiator::login(block, "");
+    initiator.write(1, 0, 1, &[1; 512]);
+    brick.wait_for(1);
+    head.signal("-TERM");
+    let event = initiator.receive();
+    assert_eq!((event.header[0], event.header[36]), (0x32, 1), "an asynchronous message: log out");
+    assert_eq!(initiator.receive().status().0, 0);
+    assert!(initiator.next().is_none());
+    assert!(head.ended());
+}
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -166,14 +166,17 @@
         });
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let asked = std::thread::spawn(move || get(address, "/-/healthy"));
+        let mut client = Client::new(address);
         let (stream, _) = listener.accept().await.expect("the client");
-        stream.readable().await.expect("the request");
         phases.enter(daemon::Phase::Draining);
         phases.close_idle();
         front.admit(stream, budget.client_slot().await);
+        for _ in 0..50 {
+            tokio::task::yield_now().await;
+        }
+        client.send("GET /-/healthy HTTP/1.1\r\nHost: head\r\n\r\n", b"");
         phases.all_closed().await;
-        let answer = asked.join().expect("answered");
+        let answer = client.answer().expect("an answer");
         assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     });
 }
@@ -183,7 +186,7 @@
 fn short_of_descriptors_the_longest_idle_connection_is_closed() {
     let brick = Brick::start(|_, _| Step::Serve(vec![]));
     let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
-    let head = Head::start_with(&discovery, None, &[], 60);
+    let head = Head::start_with(&discovery, None, &[], 60, "null");
     let mut clients: Vec<Client> = (0..40).map(|_| Client::new(head.http)).collect();
     for client in &mut clients[30..] {
         assert_eq!(client.ask(&read(3.0), b"").status(), 200);
@@ -191,3 +194,38 @@
     assert!(clients[0].answer().is_none(), "closed");
     assert!(head.counter("reclaimed") >= 20);
 }
+
+/// Guards against a watch that is cut off and gives no sign.
+#[test]
+fn a_silent_watch_is_dead_and_renewed_from_the_version_known() {
+    let (old, new) = (Brick::start(|_, _| Step::Serve(vec![])), Brick::start(|_, _| Step::Serve(vec![])));
+    let discovery = Discovery::start(&[entry("s-1", old.address, 0, "ready")]);
+    discovery.mute(true);
+    let head = Head::start(&discovery, None, &[]);
+    discovery.push(&[entry("s-1", old.address, 0, "gone"), entry("s-2", new.address, 0, "ready")]);
+    wait(|| head.logged("watch ended: silent"));
+    discovery.mute(false);
+    wait(|| (head.counter("list_changes") == 2).then_some(()));
+    assert_eq!(Client::new(head.http).ask(&read(2.0), b"").status(), 200);
+    assert_eq!((old.seen().len(), new.seen().len()), (0, 1));
+}
+
+/// Guards against a start while discovery is down: the list of the earlier life has to do.
+#[test]
+fn without_discovery_the_known_list_serves_and_a_write_that_never_ran_is_refused() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let closed =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let discovery =
+        Discovery::start(&[entry("s-1", brick.address, 0, "ready"), entry("s-2", closed, 1, "ready")]);
+    let mut down = discovery.clone();
+    down.address = closed;
+    let head = Head::start_with(&down, None, &[], 1024, &discovery.whole());
+    assert!(head.logged("in service with the list of an earlier life").is_some());
+    let mut client = Client::new(head.http);
+    assert_eq!(client.ask(&read(2.0), b"").status(), 200);
+    let lost = client.ask(&write(b"x").replace("shard=0", "shard=1"), b"x");
+    assert_eq!((lost.status(), head.counter("reset"), head.counter("failed")), (503, 0, 0));
+    assert!(lost.header("retry-after").parse::<f64>().expect("a wait") > 0.0);
+    assert!(head.counter("connect_failed") >= 1);
+}
