Stories for a break before the last byte and for a full command window

Seen: two traps of the design had no test of their own: telling what never ran from what may have, and MaxCmdSN as the bound of a session. Checked: 32 MB to a node that reads 4 KB and closes is ConnectFailed, short and empty bodies are Reset, a draining node is not written to; a ninth command past a window of eight is ignored, an immediate one is TASK SET FULL, and the window opens as commands end. Conclusion: both held; no code changed.

--- a/tests/stories_block.rs
+++ b/tests/stories_block.rs
@@ -319,3 +319,22 @@
     assert!(initiator.next().is_none());
     assert!(head.ended());
 }
+
+#[test]
+fn a_full_window_lets_only_immediate_commands_in_and_they_find_the_task_set_full() {
+    let brick = Brick::start(|_, _| Step::Silent);
+    let (_discovery, head, block) = head(&[&brick]);
+    let mut initiator = Initiator::login(block, "");
+    for _ in 0..9 {
+        initiator.read(1, 0, 1);
+    }
+    wait(|| (head.counter("block_commands") == 8).then_some(()));
+    initiator.command -= 1;
+    initiator.request(0x41, 0x80 | READ, &[(8, 1 << 16), (20, 512), (32, 0x2800_0000), (40, 1 << 24)], &[]);
+    let full = initiator.receive();
+    assert_eq!((full.status().0, full.at(28), full.at(32)), (0x28, 9, 8), "MaxCmdSN is below ExpCmdSN");
+    let ends: Vec<u8> = (0..8).map(|_| initiator.receive().status().0).collect();
+    assert!(ends.iter().all(|status| *status == 0x08), "reads may be refused at their deadline: {ends:?}");
+    assert_eq!(initiator.most, 16, "and the window is open again");
+    assert_eq!((head.counter("block_commands"), head.counter("taken")), (9, 8), "the ninth was ignored");
+}
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -229,3 +229,43 @@
     assert!(lost.header("retry-after").parse::<f64>().expect("a wait") > 0.0);
     assert!(head.counter("connect_failed") >= 1);
 }
+
+/// Guards against calling a reset what never ran: a break before the last byte proves that it did not.
+#[test]
+fn a_break_before_the_last_byte_never_ran_and_one_after_it_may_have() {
+    use flaxgap::{api::*, core::*, counters::Counters, descriptors, node};
+    use std::{io::Read, rc::Rc};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            // Reads the head of a long request, all of a short one, and is gone.
+            let _ = (&stream).read(&mut [0; 4096]);
+        }
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let counters = Rc::new(Counters::default());
+        let budget = descriptors::Budget::new(100, counters.clone());
+        let nodes = node::Nodes::new(budget, counters, 5.0, 15.0);
+        nodes.place(NodeId(1), node::Place { address, state: NodeState::Ready });
+        let until = tokio::time::Instant::now() + PATIENCE;
+        let mut outcomes = Vec::new();
+        for length in [32 << 20, 10, 0] {
+            let (verb, payload) = (Verb::Write, vec![0; length].into());
+            let (target, id) = ("/episode-save/1/2".into(), "0000000000000001".into());
+            let envelope = Envelope { verb, target, id, repeat_key: None, payload };
+            outcomes.push(nodes.send(NodeId(1), &envelope, until).await.outcome);
+        }
+        assert_eq!(outcomes, [Outcome::ConnectFailed, Outcome::Reset, Outcome::Reset]);
+        nodes.place(NodeId(1), node::Place { address, state: NodeState::Draining });
+        let envelope = Envelope {
+            verb: Verb::Read,
+            target: "/play-fetch/1/2".into(),
+            id: "0000000000000002".into(),
+            repeat_key: None,
+            payload: Default::default(),
+        };
+        assert_eq!(nodes.send(NodeId(1), &envelope, until).await.outcome, Outcome::Moot, "not written");
+    });
+}
