Check the files under deploy by a story, and say what remains

Seen: nothing checked that the shipped block and operations files can be served. Checked: they parse with the stories' settings, everything in the operations file is off, the example script compiles, and ten bad block files are turned down by name. An accessor without a user is gone.

--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -79,11 +79,6 @@
         }
         found
     }
-
-    /// Connections open.
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
 }
 
 /// One connection's place in the budget, given back when dropped.
--- a/tests/stories_ops.rs
+++ b/tests/stories_ops.rs
@@ -99,3 +99,35 @@
         std::fs::remove_file(path).expect("removed");
     }
 }
+
+/// Guards against shipping files that the program would not start with, and against unclear complaints.
+#[test]
+fn the_files_under_deploy_are_served_and_bad_ones_are_named() {
+    use flaxgap::front::block::config::Target;
+    use flaxgap::{config, ops::Ops, plugin};
+    let (settings, notes) = config::read(SETTINGS.as_bytes()).expect("settings");
+    let block = include_str!("../deploy/block.toml");
+    assert_eq!(Target::parse(block, &settings, &notes).expect("served").luns.len(), 2);
+    let ops = Ops::load("deploy/ops.toml").expect("served");
+    assert!(ops.graphite.is_none() && ops.collectd.is_none() && ops.plugin.is_none(), "all off");
+    let bounds = plugin::PluginConfig { script: "deploy/plugin.rhai".into(), max_steps: 2000, max_size: 256 };
+    plugin::Plugin::load(&bounds, Default::default()).expect("compiles");
+    let bad = [
+        ("block_size = 512", "block_size = 500"),
+        ("unit_bytes = 8192", "unit_bytes = 1"),
+        ("queue_depth = 32", "queue_depth = 0"),
+        ("\"iqn.", "\"x."),
+        ("\"network\"", "\"gold\""),
+        ("lun = 1", "lun = 0"),
+        ("count = 8192", "count = 18446744073709551615"),
+        ("count = 8192", "count = 0"),
+        ("\"00000003b4d60022\"", "\"volume\""),
+        ("hosts = 1", "host = 1"),
+    ];
+    let told = bad.map(|(from, to)| {
+        assert!(block.contains(from), "{from}");
+        let problem = Target::parse(&block.replace(from, to), &settings, &notes).expect_err("turned down");
+        problem.to_string().lines().last().unwrap_or_default().to_string()
+    });
+    insta::assert_debug_snapshot!(told);
+}
