--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -269,3 +269,48 @@
         assert_eq!(nodes.send(NodeId(1), &envelope, until).await.outcome, Outcome::Moot, "not written");
     });
 }
+
+/// Guards against writing to a node that began to drain while its connection was still coming up.
+#[test]
+fn a_drain_during_a_slow_connect_is_seen_before_writing() {
+    use flaxgap::{api::*, core::*, counters::Counters, descriptors, node};
+    use std::rc::Rc;
+    use tokio::net::{TcpSocket, TcpStream};
+    use tokio::time::{Instant, sleep, timeout};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        // With its queue full the listener answers no further connection until there is room again.
+        let mut queued = Vec::new();
+        while let Ok(Ok(stream)) = timeout(Duration::from_millis(500), TcpStream::connect(address)).await {
+            queued.push(stream);
+            assert!(queued.len() < 64, "the queue never fills");
+        }
+        let counters = Rc::new(Counters::default());
+        let nodes = node::Nodes::new(descriptors::Budget::new(100, counters.clone()), counters, 15.0, 15.0);
+        nodes.place(NodeId(1), node::Place { address, state: NodeState::Ready });
+        let envelope = Envelope {
+            verb: Verb::Read,
+            target: "/play-fetch/1/2".into(),
+            id: "0000000000000001".into(),
+            repeat_key: None,
+            payload: Default::default(),
+        };
+        let accepting = async {
+            sleep(Duration::from_millis(50)).await;
+            nodes.place(NodeId(1), node::Place { address, state: NodeState::Draining });
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                queued.push(stream);
+            }
+        };
+        let reply = tokio::select! {
+            reply = nodes.send(NodeId(1), &envelope, Instant::now() + PATIENCE) => reply,
+            () = accepting => unreachable!("it accepts for ever"),
+        };
+        assert_eq!(reply.outcome, Outcome::Moot);
+    });
+}
