Reread the configuration on SIGHUP and move discovery to its new address

Checked: daemon.rs took over SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP had the system's default; the source of the list was a plain address, handed to obtain_list once. Ruled out: the list code itself (the same calls served at the new address once they were made there). Lines at fault: daemon.rs run (signals), obtain_list and Directory::follow (one address for life). Also Directory::names, which kept each node's name for ever. Now: signals are taken over before the file is first read; a reload applies discovery and limits.sockets, a bad file changes nothing; the old watch goes on until the new source's list is whole, and the new watch starts from that list's version.

--- a/src/api.rs
+++ b/src/api.rs
@@ -64,7 +64,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this many seconds earns the full worth.
     pub aim: f64,
@@ -81,7 +81,7 @@
 }
 
 /// What a plan allows one volume at most, over all hosts.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Units a second at which the store fills.
     pub rate: f64,
@@ -92,7 +92,7 @@
 }
 
 /// One plan; its figures hold for each volume over all hosts and nodes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// Units a second that such a volume is sized for.
     pub base_rate: f64,
@@ -107,7 +107,7 @@
 }
 
 /// The budget of attempts beyond each request's first.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     /// Allowed however light the traffic.
     pub free: f64,
@@ -118,7 +118,7 @@
 }
 
 /// How nodes that just started are protected.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cold {
     /// Units within `span` that such a node bears from all hosts together.
     pub units: f64,
@@ -133,7 +133,7 @@
 }
 
 /// What a scheduler is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The request classes.
     pub classes: Vec<Class>,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -90,6 +90,10 @@
     list_changes,
     /// Watches on the node list that ended.
     watches_lost,
+    /// Configurations that were read again and applied.
+    reloads,
+    /// Configurations that could not be read again.
+    reloads_failed,
 }
 
 impl Counters {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The program from start to exit, as named phases of one object.
 
+use crate::api::Settings;
 use crate::config::Config;
 use crate::core::{Clock, Dispatcher};
 use crate::counters::Counters;
@@ -18,7 +19,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
@@ -133,8 +134,66 @@
     Settings(#[from] crate::api::SettingsError),
 }
 
+/// What the program is told by signals. Taken before all else: one that comes earlier ends the program.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reread: Signal,
+    ask: Signal,
+}
+
+impl Signals {
+    /// Takes them over. Needs the runtime.
+    pub fn take() -> Result<Signals, DaemonError> {
+        let take = |kind| signal(kind).map_err(DaemonError::Signals);
+        Ok(Signals {
+            terminate: take(SignalKind::terminate())?,
+            interrupt: take(SignalKind::interrupt())?,
+            reread: take(SignalKind::hangup())?,
+            ask: take(SignalKind::user_defined1())?,
+        })
+    }
+}
+
+/// What of a running program a new configuration changes; the rest takes a restart.
+struct Running {
+    path: String,
+    name: String,
+    listen: SocketAddr,
+    settings: Settings,
+    discovery: watch::Sender<SocketAddr>,
+    budget: Rc<Budget>,
+    counters: Rc<Counters>,
+}
+
+impl Running {
+    /// Reads the file again. One that can't be read changes nothing.
+    fn reload(&self) {
+        let config = match Config::load(&self.path) {
+            Ok(config) => config,
+            Err(problem) => {
+                self.counters.reloads_failed.add();
+                return log::error!("daemon: reload: {problem}; the running settings stay");
+            }
+        };
+        self.counters.reloads.add();
+        let fixed = [
+            ("name", config.name != self.name),
+            ("listen", config.listen != self.listen),
+            ("settings", config.settings != self.settings),
+        ];
+        for (part, _) in fixed.iter().filter(|(_, changed)| *changed) {
+            log::warn!("daemon: reload: {part} changed, which takes a restart");
+        }
+        self.budget.set_limit(config.limits.sockets);
+        log::info!("daemon: reloaded, discovery at {}", config.discovery);
+        self.discovery.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+    }
+}
+
 /// The whole program.
 pub struct Daemon {
+    path: String,
     config: Config,
     block: Option<String>,
     ops: Ops,
@@ -143,24 +202,20 @@
 }
 
 impl Daemon {
-    /// A program that has not started yet. `block` names the block front's file; without it, that front
-    /// is off, as is all that `ops` does not hold.
-    pub fn new(config: Config, block: Option<String>, ops: Ops) -> Daemon {
-        Daemon { config, block, ops, phases: Rc::default(), counters: Rc::default() }
+    /// A program that has not started yet, with the configuration out of the file at `path`. `block` names
+    /// the block front's file; without it, that front is off, as is all that `ops` does not hold.
+    pub fn new(path: String, config: Config, block: Option<String>, ops: Ops) -> Daemon {
+        Daemon { path, config, block, ops, phases: Rc::default(), counters: Rc::default() }
     }
 
     /// Runs until SIGTERM or SIGINT has been served to its end. Needs a local task set.
-    pub async fn run(self) -> Result<(), DaemonError> {
-        let Daemon { config, block, ops, phases, counters } = self;
-        let (mut terminate, mut interrupt) = (
-            signal(SignalKind::terminate()).map_err(DaemonError::Signals)?,
-            signal(SignalKind::interrupt()).map_err(DaemonError::Signals)?,
-        );
-        let mut ask = signal(SignalKind::user_defined1()).map_err(DaemonError::Signals)?;
+    pub async fn run(self, signals: Signals) -> Result<(), DaemonError> {
+        let Daemon { path, config, block, ops, phases, counters } = self;
+        let Signals { mut terminate, mut interrupt, mut reread, mut ask } = signals;
         let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let (settings, notes) = (config.settings, config.notes);
         let block = block.map(|path| Target::load(&path, &settings, &notes)).transpose()?;
-        let dispatcher = Dispatcher::new(settings, config.seed, Clock::start(), counters.clone())?;
+        let dispatcher = Dispatcher::new(settings.clone(), config.seed, Clock::start(), counters.clone())?;
         let budget = Budget::new(config.limits.sockets, counters.clone());
         let nodes = Nodes::new(budget.clone(), counters.clone(), notes.connect_timeout, notes.conn_idle);
         let zones = notes.zone_names.clone();
@@ -183,6 +238,16 @@
         if let Some(config) = ops.plugin {
             dispatcher.observe(Rc::new(Plugin::load(&config, counters.clone())?));
         }
+        let (source, discovery) = watch::channel(config.discovery);
+        let running = Running {
+            path,
+            name: config.name,
+            listen: config.listen,
+            settings,
+            discovery: source,
+            budget: budget.clone(),
+            counters: counters.clone(),
+        };
         let front = Rc::new(HttpFront {
             dispatcher: dispatcher.clone(),
             transport: nodes.clone(),
@@ -193,13 +258,14 @@
         });
         let keep_time = spawn_local(async move { dispatcher.keep_time().await });
         let sweep = spawn_local(async move { nodes.sweep().await });
-        let list = spawn_local(obtain_list(directory, config.known, config.discovery, phases.clone()));
+        let list = spawn_local(obtain_list(directory, config.known, discovery, phases.clone()));
 
         let told = async {
             loop {
                 tokio::select! {
                     _ = terminate.recv() => return,
                     _ = interrupt.recv() => return,
+                    _ = reread.recv() => running.reload(),
                     _ = ask.recv() => log::info!("counters: {counters}"),
                 }
             }
@@ -252,7 +318,7 @@
 async fn obtain_list(
     directory: Rc<Directory>,
     known: Option<serde_json::Value>,
-    discovery: SocketAddr,
+    mut discovery: watch::Receiver<SocketAddr>,
     phases: Rc<Phases>,
 ) {
     let known: Option<List> = known.and_then(|known| match serde_json::from_value(known) {
@@ -268,9 +334,13 @@
     });
     let patience = Instant::now() + LIST_PATIENCE;
     loop {
-        match directory.fetch(discovery).await {
-            Ok(()) => break,
-            Err(problem) => log::warn!("discovery: no list: {problem}"),
+        let address = *discovery.borrow_and_update();
+        tokio::select! {
+            fetched = directory.fetch(address) => match fetched {
+                Ok(()) => break,
+                Err(problem) => log::warn!("discovery: no list: {problem}"),
+            },
+            Ok(()) = discovery.changed() => continue,
         }
         if stands && Instant::now() >= patience {
             log::warn!("daemon: in service with the list of an earlier life");
--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -29,7 +29,7 @@
 
 /// Counts open connections and knows which are idle.
 pub struct Budget {
-    limit: usize,
+    limit: Cell<usize>,
     open: Cell<usize>,
     turn: Cell<u64>,
     idle: RefCell<BTreeMap<u64, Close>>,
@@ -39,17 +39,23 @@
 impl Budget {
     /// A budget out of `limit` descriptors of the process.
     pub fn new(limit: usize, counters: Rc<Counters>) -> Rc<Budget> {
-        let limit = limit.saturating_sub(KEPT).max(8);
         let (open, turn, idle) = (Cell::new(0), Cell::new(0), RefCell::default());
-        Rc::new(Budget { limit, open, turn, idle, counters })
+        let budget = Budget { limit: Cell::new(0), open, turn, idle, counters };
+        budget.set_limit(limit);
+        Rc::new(budget)
+    }
+
+    /// Changes the limit; what is open past a lower one stays until it ends.
+    pub fn set_limit(&self, limit: usize) {
+        self.limit.set(limit.saturating_sub(KEPT).max(8));
     }
 
     /// A slot for a connection about to be opened or just accepted. When all are taken, the connection
     /// idle longest is told to close; `None` if there is none to close.
     pub fn slot(self: &Rc<Self>, side: Side) -> Option<Slot> {
         let limit = match side {
-            Side::Client => self.limit - self.limit / FOR_NODES,
-            Side::Node => self.limit,
+            Side::Client => self.limit.get() - self.limit.get() / FOR_NODES,
+            Side::Node => self.limit.get(),
         };
         if self.open.get() >= limit && !self.reclaim() {
             return None;
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -12,12 +12,13 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -52,6 +53,9 @@
     /// A list that can't be read.
     #[error("list: {0}")]
     List(#[from] serde_json::Error),
+    /// A call for the whole list brought only a part of it.
+    #[error("list: not whole")]
+    NotWhole,
     /// The list broke off, or is past any sensible length.
     #[error("list: {0}")]
     Body(String),
@@ -102,6 +106,7 @@
     nodes: Rc<Nodes>,
     counters: Rc<Counters>,
     names: RefCell<HashMap<String, NodeId>>,
+    named: Cell<u64>,
     zones: RefCell<Vec<String>>,
     version: Cell<u64>,
 }
@@ -114,8 +119,8 @@
         counters: Rc<Counters>,
         zones: Vec<String>,
     ) -> Rc<Directory> {
-        let (names, zones, version) = (RefCell::default(), RefCell::new(zones), Cell::new(0));
-        Rc::new(Directory { dispatcher, nodes, counters, names, zones, version })
+        let (names, named, version) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        Rc::new(Directory { dispatcher, nodes, counters, names, named, zones: RefCell::new(zones), version })
     }
 
     /// Takes in a list: the transport first, so that nothing is written to a node that just left.
@@ -123,17 +128,21 @@
         self.counters.list_changes.add();
         self.version.set(list.rev);
         if kind != ListKind::Changes {
-            let listed = |name: &String| list.targets.iter().any(|t| t.uid == *name);
-            let names = self.names.borrow();
-            names.iter().filter(|(name, _)| !listed(name)).for_each(|(_, node)| self.nodes.forget(*node));
+            let listed: HashSet<&str> = list.targets.iter().map(|t| t.uid.as_str()).collect();
+            self.names.borrow_mut().retain(|name, node| {
+                let stays = listed.contains(name.as_str());
+                if !stays {
+                    self.nodes.forget(*node);
+                }
+                stays
+            });
         }
         let entries: Vec<NodeInfo> = list.targets.iter().filter_map(|target| self.entry(target)).collect();
         self.dispatcher.tell(&[Event::Nodes { kind, nodes: entries }]);
     }
 
     fn entry(&self, target: &Target) -> Option<NodeInfo> {
-        let next = self.names.borrow().len() as u64;
-        let node = *self.names.borrow_mut().entry(target.uid.clone()).or_insert(NodeId(next));
+        let node = self.node(target);
         let state = match target.state.as_str() {
             "ready" => NodeState::Ready,
             "draining" => NodeState::Draining,
@@ -163,6 +172,23 @@
         Some(NodeInfo { node, shard: ShardId(target.pod_group), since, zone: self.zone(&target.az), state })
     }
 
+    /// The number that stands for a name. A name whose node is gone is not kept: another that comes has a
+    /// number of its own, and over time names come without end.
+    fn node(&self, target: &Target) -> NodeId {
+        let mut names = self.names.borrow_mut();
+        let known = match target.state.as_str() {
+            "gone" => names.remove(&target.uid),
+            _ => names.get(&target.uid).copied(),
+        };
+        known.unwrap_or_else(|| {
+            let node = NodeId(self.named.replace(self.named.get() + 1));
+            if target.state != "gone" {
+                names.insert(target.uid.clone(), node);
+            }
+            node
+        })
+    }
+
     fn zone(&self, name: &str) -> ZoneId {
         let mut zones = self.zones.borrow_mut();
         let place = zones.iter().position(|z| z == name).unwrap_or_else(|| {
@@ -182,7 +208,11 @@
             Ok::<_, DiscoveryError>(body)
         };
         let body = timeout(CALL, call).await.map_err(|_| DiscoveryError::Silent(CALL))??;
-        self.apply(&serde_json::from_slice(&body)?, ListKind::Whole);
+        let list: List = serde_json::from_slice(&body)?;
+        if !list.all {
+            return Err(DiscoveryError::NotWhole);
+        }
+        self.apply(&list, ListKind::Whole);
         Ok(())
     }
 
@@ -216,8 +246,43 @@
         }
     }
 
-    /// Keeps a watch for as long as the program runs.
-    pub async fn follow(&self, address: SocketAddr) {
+    /// Follows the list for as long as the program runs, wherever it is to be had.
+    pub async fn follow(&self, mut source: watch::Receiver<SocketAddr>) {
+        loop {
+            let address = *source.borrow_and_update();
+            tokio::select! {
+                biased;
+                () = self.moved(&mut source) => {}
+                () = self.keep_watch(address) => {}
+            }
+        }
+    }
+
+    /// Waits until the list has another source and that source's list is in, whole. What one source says of
+    /// versions means nothing to another, so its watch starts from its own list; until then the nodes known
+    /// serve, and the watch on the old source goes on for as long as that lets it.
+    async fn moved(&self, source: &mut watch::Receiver<SocketAddr>) {
+        if source.changed().await.is_err() {
+            // No other source will ever be named.
+            return std::future::pending().await;
+        }
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let address = *source.borrow_and_update();
+            match self.fetch(address).await {
+                Ok(()) if source.has_changed().is_ok_and(|changed| changed) => continue,
+                Ok(()) => return log::info!("discovery: now at {address}, version {}", self.version.get()),
+                Err(problem) => log::warn!("discovery: no list at {address}: {problem}"),
+            }
+            tokio::select! {
+                () = sleep(pause) => pause = (pause * 2).min(LONGEST_PAUSE),
+                _ = source.changed() => pause = FIRST_PAUSE,
+            }
+        }
+    }
+
+    /// Keeps a watch at one address.
+    async fn keep_watch(&self, address: SocketAddr) {
         let mut pause = FIRST_PAUSE;
         loop {
             let before = self.counters.list_changes.get();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The storage head as a program.
 
 use flaxgap::config::Config;
-use flaxgap::daemon::Daemon;
+use flaxgap::daemon::{Daemon, Signals};
 use flaxgap::ops::Ops;
 use std::process::ExitCode;
 
@@ -17,13 +17,15 @@
 }
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    let signals = local.block_on(&runtime, async { Signals::take() })?;
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no configuration")?;
     let config = Config::load(&path)?;
     log::info!("daemon: {} starts, discovery at {}", config.name, config.discovery);
     let ops = named("FLAXGAP_OPS").map(|path| Ops::load(&path)).transpose()?.unwrap_or_default();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = tokio::task::LocalSet::new();
-    Ok(local.block_on(&runtime, Daemon::new(config, named("FLAXGAP_BLOCK"), ops).run())?)
+    let daemon = Daemon::new(path, config, named("FLAXGAP_BLOCK"), ops);
+    Ok(local.block_on(&runtime, daemon.run(signals))?)
 }
 
 /// The file that a variable names; a variable that is not set, or empty, leaves its part off.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -170,6 +170,7 @@
 pub struct Discovery {
     pub address: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
+    asked: Arc<Mutex<Vec<String>>>,
     mute: Arc<std::sync::atomic::AtomicBool>,
 }
 
@@ -178,7 +179,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let whole = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(","));
-        let discovery = Discovery { address, lines: Arc::new(Mutex::new(vec![whole])), mute: Arc::default() };
+        let lines = Arc::new(Mutex::new(vec![whole]));
+        let discovery = Discovery { address, lines, asked: Arc::default(), mute: Arc::default() };
         let shared = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -192,6 +194,7 @@
     fn serve(&self, stream: TcpStream) {
         let mut out = stream.try_clone().expect("a handle");
         let Some(message) = Message::read(&mut BufReader::new(stream)) else { return };
+        self.asked.lock().expect("asked").push(message.line.clone());
         let mut sent = 1;
         if !message.line.contains("follow=1") {
             let whole = self.lines.lock().expect("lines")[0].clone();
@@ -218,6 +221,11 @@
         }
     }
 
+    /// The calls and watches so far, by their first lines.
+    pub fn asked(&self) -> Vec<String> {
+        self.asked.lock().expect("asked").clone()
+    }
+
     /// Has watches stay silent, or no longer.
     pub fn mute(&self, mute: bool) {
         self.mute.store(mute, Ordering::SeqCst);
@@ -273,6 +281,15 @@
 extents = [{ first = "0000000000002000", count = 4, shard = 0 }, { first = "0000000000003000", count = 4, shard = 1 }]
 "#;
 
+/// A configuration's text.
+pub fn config(discovery: &Discovery, sockets: usize, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#,
+        discovery.address
+    )
+}
+
 static HEADS: AtomicU32 = AtomicU32::new(0);
 
 /// The head as a process.
@@ -301,12 +318,7 @@
         let number = HEADS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#,
-            discovery.address
-        );
-        std::fs::write(folder.join("config.json"), config).expect("written");
+        std::fs::write(folder.join("config.json"), config(discovery, sockets, known)).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap"));
         command.env("LB_CONFIG", folder.join("config.json")).env("RUST_LOG", "info").stderr(Stdio::piped());
         command.env_remove("FLAXGAP_BLOCK").envs(extra.iter().copied());
@@ -328,6 +340,12 @@
         head
     }
 
+    /// Replaces the file of the configuration and has it read again.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).expect("written");
+        self.signal("-HUP");
+    }
+
     fn address(&self, after: &str) -> SocketAddr {
         wait(|| self.logged(after).and_then(|line| line.rsplit(' ').next()?.parse().ok()))
     }
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -210,6 +210,38 @@
     assert_eq!((old.seen().len(), new.seen().len()), (0, 1));
 }
 
+/// Guards against ending on SIGHUP, against settings that only half apply, and against versions of one source
+/// that are asked for at another.
+#[test]
+fn a_reload_moves_to_the_new_source_once_its_list_is_whole_and_a_bad_file_changes_nothing() {
+    let brick = |name: &'static str| Brick::start(move |_, _| Step::Serve(name.into()));
+    let (old, new) = (brick("old"), brick("new"));
+    let (before, head) = one(&old);
+    for _ in 0..3 {
+        before.push(&[entry("s-1", old.address, 0, "ready")]);
+    }
+    wait(|| (head.counter("list_changes") == 4).then_some(()));
+    head.reload("{}");
+    wait(|| head.logged("the running settings stay"));
+    let mut client = Client::new(head.http);
+    assert_eq!(client.ask(&read(2.0), b"").body, b"old");
+    // A source that does not answer yet: the nodes known go on.
+    let after = Discovery::start(&[entry("s-2", new.address, 0, "ready")]);
+    let mut down = after.clone();
+    down.address =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    head.reload(&config(&down, 1024, "null"));
+    wait(|| head.logged("no list at"));
+    assert_eq!(client.ask(&read(2.0), b"").body, b"old");
+    head.reload(&config(&after, 1024, "null"));
+    wait(|| (client.ask(&read(2.0), b"").body == b"new").then_some(()));
+    wait(|| (after.asked().len() == 2).then_some(()));
+    assert!(after.asked()[0].starts_with("GET /api/targets ") && after.asked()[1].contains("since=1 "));
+    assert_eq!(["reloads", "reloads_failed"].map(|name| head.counter(name)), [2, 1]);
+    after.push(&[entry("s-2", new.address, 0, "gone"), entry("s-1", old.address, 0, "ready")]);
+    wait(|| (client.ask(&read(2.0), b"").body == b"old").then_some(()));
+}
+
 /// Guards against a start while discovery is down: the list of the earlier life has to do.
 #[test]
 fn without_discovery_the_known_list_serves_and_a_write_that_never_ran_is_refused() {
