Keep serving open connections after SIGTERM until shortly before the end

Checked, heads' logs: each head was told to stop, had ended 0.7 to 1.3 s later, and was started again 3.74 s after the signal whatever it did; the protocol grants the longest deadline and 0.7 s. Clients go on using connections that stay open, and find no other head for their volumes. Ruled out: the reload itself (no failures between the new configurations and the first restart). Lines at fault: daemon.rs KEEP_IDLE (idle connections closed at 0.45 s) and front/http.rs, which closed after each answer from SIGTERM on. Conclusion: the heads' settings name 2.3 s as the longest deadline there, so 3.0 s of the 3.74 can be used.

--- a/src/core.rs
+++ b/src/core.rs
@@ -8,7 +8,7 @@
 use crate::api::*;
 use crate::counters::Counters;
 use bytes::Bytes;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::future::Future;
@@ -193,6 +193,7 @@
     woken: Notify,
     counters: Rc<Counters>,
     observer: RefCell<Option<Rc<dyn Observer>>>,
+    finish_by: Cell<Option<Instant>>,
 }
 
 impl Dispatcher {
@@ -210,7 +211,8 @@
         let state = State { scheduler, mailboxes, wakes, next_id: 0, pending, tick, next_call };
         let state = RefCell::new(state);
         let (woken, observer) = (Notify::new(), RefCell::new(None));
-        Ok(Rc::new(Dispatcher { state, clock, woken, counters, observer }))
+        let finish_by = Cell::new(None);
+        Ok(Rc::new(Dispatcher { state, clock, woken, counters, observer, finish_by }))
     }
 
     /// Has an observer see all requests from now on.
@@ -218,6 +220,12 @@
         self.observer.replace(Some(observer));
     }
 
+    /// What is taken from now on is answered by this moment, since the program ends. The module is not told:
+    /// it would read the shorter time as a client's that has waited before.
+    pub fn finish_by(&self, at: Instant) {
+        self.finish_by.set(Some(at));
+    }
+
     /// The clock that the module's figures are on.
     pub fn clock(&self) -> Clock {
         self.clock
@@ -301,10 +309,12 @@
         if let Some(observer) = &observer {
             observer.taken(&call);
         }
-        let last = call.deadline + OVERDUE;
+        let overdue = call.deadline + OVERDUE;
+        let (last, mut sent) = (self.finish_by.get().map_or(overdue, |at| overdue.min(at)), false);
         let answer = loop {
             let choice = match timeout_at(last, ticket.mail.recv()).await {
                 Ok(Some(choice)) => choice,
+                Err(_) if last < overdue => break if sent { Answer::Failed } else { refused(0.0) },
                 // Guards against a module that owes an answer: the client gets one in any case.
                 Ok(None) | Err(_) => {
                     self.counters.overdue.add();
@@ -315,7 +325,8 @@
             match choice {
                 Choice::Send { attempt, node, abandon_at } => {
                     self.counters.attempts.add();
-                    let until = self.clock.instant(abandon_at);
+                    sent = true;
+                    let until = self.clock.instant(abandon_at).min(last);
                     // The mail comes first: an attempt called off before its first byte is never written.
                     let ended = tokio::select! {
                         biased;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,10 +24,14 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// After SIGTERM: how long idle connections are kept, and how long new ones are accepted. Clients keep
-/// coming for 0.4 s, and a request that is on its way must find the listener.
-const KEEP_IDLE: Duration = Duration::from_millis(450);
+/// After SIGTERM: how long new connections are accepted at least, and the longest deadline that the
+/// platform waits out past that before it ends the program itself.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(700);
+const LONGEST_GRACE: f64 = 3.0;
+/// How long before that end connections begin to close, and by when all must be answered: until then
+/// clients go on using the connections they have, and find no other head for their volumes.
+const WIND_UP: Duration = Duration::from_millis(450);
+const LAST_ANSWER: Duration = Duration::from_millis(100);
 /// How long the whole list is tried for before the list known from an earlier life has to do.
 const LIST_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -94,6 +98,11 @@
         ConnectionGuard(self.connections.clone())
     }
 
+    /// Whether connections shall close after the answer they are at.
+    pub fn closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Turns true when idle connections shall close.
     pub fn subscribe_closing(&self) -> watch::Receiver<bool> {
         self.closing.subscribe()
@@ -280,16 +289,19 @@
         }
 
         phases.enter(Phase::Draining);
-        let started = Instant::now();
-        let end = started + KEEP_ACCEPTING + crate::core::seconds(longest);
-        tokio::select! {
-            () = front.clone().listen(&listener) => {}
-            () = sleep_until(started + KEEP_IDLE) => phases.close_idle(),
-        }
+        let accepting = Instant::now() + KEEP_ACCEPTING;
+        let end = accepting + crate::core::seconds(longest.min(LONGEST_GRACE));
+        front.dispatcher.finish_by(end - LAST_ANSWER);
+        let gone = async {
+            sleep_until(accepting).await;
+            phases.all_closed().await;
+        };
         tokio::select! {
             () = front.clone().listen(&listener) => {}
-            () = sleep_until(started + KEEP_ACCEPTING) => {}
+            () = sleep_until(accepting.max(end - WIND_UP)) => {}
+            () = gone => {}
         }
+        phases.close_idle();
         // What the system has accepted for us counts as taken.
         while let Some(slot) = front.budget.slot(Side::Client) {
             let Ok(Ok((stream, _))) = timeout_at(Instant::now(), listener.accept()).await else { break };
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -169,7 +169,7 @@
         Box::pin(async move {
             service.slot.busy();
             let mut response = service.front.answer(request, arrived).await;
-            if service.front.phases.now() >= Phase::Draining {
+            if service.front.phases.closing() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             service.rest();
