--- a/src/config.rs
+++ b/src/config.rs
@@ -48,14 +48,14 @@
     pub memory_mb: usize,
 }
 
-/// Memory of the program itself, and of a connection at its worst: a body, as it came and as it goes on.
-const OWN_MB: usize = 8;
-const CONNECTION_KB: usize = 96;
+/// Part of the memory, in KB for each MB, that buffers of connections may take, and what one takes of it.
+const FOR_CONNECTIONS: usize = 256;
+const CONNECTION_KB: usize = 24;
 
 impl Limits {
     /// Descriptors that may be held: no more than there is memory for.
     pub fn descriptors(&self) -> usize {
-        self.sockets.min(self.memory_mb.saturating_sub(OWN_MB).saturating_mul(1024) / CONNECTION_KB)
+        self.sockets.min(self.memory_mb.saturating_mul(FOR_CONNECTIONS) / CONNECTION_KB)
     }
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,6 +10,7 @@
 use crate::front::block::BlockFront;
 use crate::front::block::config::{BlockConfigError, Target};
 use crate::front::http::HttpFront;
+use crate::memory::Memory;
 use crate::node::Nodes;
 use crate::ops::Ops;
 use crate::plugin::{Plugin, PluginError};
@@ -172,6 +173,7 @@
     settings: Settings,
     discovery: watch::Sender<SocketAddr>,
     budget: Rc<Budget>,
+    memory: Rc<Memory>,
     counters: Rc<Counters>,
 }
 
@@ -195,6 +197,7 @@
             log::warn!("daemon: reload: {part} changed, which takes a restart");
         }
         self.budget.set_limit(config.limits.descriptors());
+        self.memory.set_limit(config.limits.memory_mb);
         log::info!("daemon: reloaded, discovery at {}", config.discovery);
         self.discovery.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
     }
@@ -226,7 +229,9 @@
         let block = block.map(|path| Target::load(&path, &settings, &notes)).transpose()?;
         let dispatcher = Dispatcher::new(settings.clone(), config.seed, Clock::start(), counters.clone())?;
         let budget = Budget::new(config.limits.descriptors(), counters.clone());
-        let nodes = Nodes::new(budget.clone(), counters.clone(), notes.connect_timeout, notes.conn_idle);
+        let memory = Memory::new(config.limits.memory_mb);
+        let (connect_timeout, conn_idle) = (notes.connect_timeout, notes.conn_idle);
+        let nodes = Nodes::new(budget.clone(), memory.clone(), counters.clone(), connect_timeout, conn_idle);
         let zones = notes.zone_names.clone();
         let directory = Directory::new(dispatcher.clone(), nodes.clone(), counters.clone(), zones);
         let listener = listen(config.listen, "http").await?;
@@ -255,6 +260,7 @@
             settings,
             discovery: source,
             budget: budget.clone(),
+            memory: memory.clone(),
             counters: counters.clone(),
         };
         let front = Rc::new(HttpFront {
@@ -263,6 +269,7 @@
             notes,
             phases: phases.clone(),
             budget,
+            memory,
             counters: counters.clone(),
         });
         let keep_time = spawn_local(async move { dispatcher.keep_time().await });
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -7,9 +7,10 @@
 use crate::daemon::{Phase, Phases};
 use crate::descriptors::{Budget, Slot};
 use crate::front::intake::{Intake, LONGEST_HEAD, MOST_FIELDS, Watch};
+use crate::memory::{BodyError, Memory};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
@@ -26,16 +27,12 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Longest body that is taken; the protocol allows 64 KiB.
-const LONGEST_BODY: usize = 64 * 1024;
 /// Pause after the system would not give a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Longest id that is taken.
 const LONGEST_ID: usize = 64;
 /// How long a new connection may wait with its first request once the program ends.
 const FIRST_REQUEST: Duration = Duration::from_millis(300);
-/// A body that comes with its head is read whatever time its client has left.
-const MOMENT: Duration = Duration::from_millis(50);
 /// Longest time that a client may say it waits, in seconds.
 const LONGEST_WAIT: f64 = 3600.0;
 
@@ -51,6 +48,8 @@
     pub phases: Rc<Phases>,
     /// The descriptors.
     pub budget: Rc<Budget>,
+    /// The memory for bodies.
+    pub memory: Rc<Memory>,
     /// The counts.
     pub counters: Rc<Counters>,
 }
@@ -74,8 +73,11 @@
     #[error("the length of the body is in doubt")]
     Length,
     /// More of a body than any request has.
-    #[error("a body of over {LONGEST_BODY} bytes")]
+    #[error("a body past any sensible length")]
     TooLong,
+    /// There is no memory for its body now; it did not run.
+    #[error("no memory for the body now, come again")]
+    NoMemory,
     /// The body did not come in time.
     #[error("the body did not come whole in time")]
     Slow,
@@ -88,6 +90,7 @@
     fn status(&self) -> StatusCode {
         match self {
             BadRequest::Method(_) | BadRequest::ClassMethod(_) => StatusCode::METHOD_NOT_ALLOWED,
+            BadRequest::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             BadRequest::Slow => StatusCode::REQUEST_TIMEOUT,
             BadRequest::Duplicate => StatusCode::CONFLICT,
@@ -211,12 +214,11 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let arrived = Instant::now();
         let service = self.clone();
         let (whole_by, doubtful) = (self.watch.serving(), self.watch.doubtful());
         Box::pin(async move {
             service.slot.busy();
-            let mut response = service.front.answer(request, arrived, whole_by, doubtful).await;
+            let mut response = service.front.answer(request, whole_by, doubtful).await;
             service.watch.answered();
             if service.front.phases.closing() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -231,7 +233,6 @@
     async fn answer(
         &self,
         request: Request<Incoming>,
-        arrived: Instant,
         whole_by: Instant,
         doubtful: bool,
     ) -> Response<Full<Bytes>> {
@@ -247,7 +248,7 @@
         }
         let call = match doubtful {
             true => Err(BadRequest::Length),
-            false => self.call(request, arrived, whole_by).await,
+            false => self.call(request, whole_by).await,
         };
         // A second request with an id would be a second copy at the node.
         match call.and_then(|call| {
@@ -264,29 +265,22 @@
     }
 
     /// The call that a request makes.
-    async fn call(
-        &self,
-        request: Request<Incoming>,
-        arrived: Instant,
-        whole_by: Instant,
-    ) -> Result<Call, BadRequest> {
+    async fn call(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Call, BadRequest> {
         let (head, body) = request.into_parts();
         let fields = Fields::read(&head.method, head.uri.path(), &head.headers, &self.notes)?;
-        let deadline = arrived + seconds(fields.left);
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
         let bytes = |name| head.headers.get(name).map(|v: &HeaderValue| Bytes::copy_from_slice(v.as_bytes()));
         let id = bytes("x-correlation-id").unwrap_or_default();
         let repeat_key = bytes("idempotency-key");
-        if body.size_hint().lower() > LONGEST_BODY as u64 {
-            return Err(BadRequest::TooLong);
-        }
-        let whole_by = whole_by.min(deadline.max(arrived + MOMENT));
-        let payload = match timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(problem)) if problem.is::<LengthLimitError>() => return Err(BadRequest::TooLong),
-            Ok(Err(_)) => return Err(BadRequest::Length),
+        let payload = match timeout_at(whole_by, self.memory.collect(body)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyError::TooLong)) => return Err(BadRequest::TooLong),
+            Ok(Err(BodyError::Full)) => return Err(BadRequest::NoMemory),
+            Ok(Err(BodyError::Broken(_))) => return Err(BadRequest::Length),
             Err(_) => return Err(BadRequest::Slow),
         };
+        // A request's time counts from its last byte.
+        let deadline = Instant::now() + seconds(fields.left);
         if fields.verb == Verb::Read && !payload.is_empty() {
             return Err(BadRequest::Length);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod export;
 pub mod front;
 mod logic;
+pub mod memory;
 pub mod node;
 pub mod ops;
 pub mod plugin;
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,8 +7,8 @@
 use crate::core::{Envelope, Reply, Transport, Verb, seconds};
 use crate::counters::Counters;
 use crate::descriptors::{Budget, Side, Slot};
+use crate::memory::{self, Memory};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -33,13 +33,11 @@
 /// Part of the nodes' idle time after which a pooled connection is closed: one that the node is about
 /// to close would turn the next request into a reset.
 const IDLE_PART: f64 = 0.5;
-/// Longest body that is taken from a node; the protocol allows 64 KiB.
-const LONGEST_BODY: usize = 64 * 1024;
 /// Longest head, and all that an answer may come to with interim ones before it.
 const LONGEST_HEAD: usize = 16 * 1024;
-const LONGEST_ANSWER: usize = LONGEST_BODY + 4 * LONGEST_HEAD;
-/// From an answer's first byte to its last: a node that stops midway has nothing more to say.
-const WHOLE_ANSWER: Duration = Duration::from_millis(250);
+const LONGEST_ANSWER: usize = memory::LONGEST + 4 * LONGEST_HEAD;
+/// A node that stops for so long midway in an answer has nothing more to say.
+const STOPPED: Duration = Duration::from_millis(250);
 /// How long a connection rests after an answer, so that what comes after it and belongs to no request is
 /// seen before the next is written.
 const REST: Duration = Duration::from_millis(20);
@@ -59,7 +57,7 @@
     body_taken: Cell<bool>,
     wrote: Cell<bool>,
     whole: Cell<bool>,
-    /// When the answer's first byte came, and how many have come.
+    /// When the answer's last bytes so far came, and how many have come.
     heard: Cell<Option<Instant>>,
     read: Cell<usize>,
     /// An interim answer came; the one that counts is still to come.
@@ -84,7 +82,7 @@
         if self.interim.swap(false, Ordering::Relaxed) {
             self.heard.set(None);
         }
-        self.heard.get().map_or(until, |at| until.min(at + WHOLE_ANSWER))
+        self.heard.get().map_or(until, |at| until.min(at + STOPPED))
     }
 }
 
@@ -134,9 +132,7 @@
             return read;
         }
         progress.read.set(progress.read.get() + some);
-        if progress.heard.get().is_none() {
-            progress.heard.set(Some(Instant::now()));
-        }
+        progress.heard.set(Some(Instant::now()));
         if progress.read.get() > LONGEST_ANSWER {
             return Poll::Ready(Err(io::Error::other("an answer past any sensible length")));
         }
@@ -254,6 +250,7 @@
 pub struct Nodes {
     pools: Rc<RefCell<Pools>>,
     budget: Rc<Budget>,
+    memory: Rc<Memory>,
     counters: Rc<Counters>,
     connect_timeout: Duration,
     idle_for: Duration,
@@ -263,13 +260,14 @@
     /// Knows no node yet. `conn_idle` is the time after which nodes close idle connections.
     pub fn new(
         budget: Rc<Budget>,
+        memory: Rc<Memory>,
         counters: Rc<Counters>,
         connect_timeout: f64,
         conn_idle: f64,
     ) -> Rc<Nodes> {
         let (connect_timeout, idle_for) = (seconds(connect_timeout), seconds(conn_idle * IDLE_PART));
         let pools = Rc::default();
-        Rc::new(Nodes { pools, budget, counters, connect_timeout, idle_for })
+        Rc::new(Nodes { pools, budget, memory, counters, connect_timeout, idle_for })
     }
 
     /// Takes in what discovery says of a node. One that takes no more work, or has moved, loses its
@@ -398,8 +396,8 @@
             let has = |name| head.headers.contains_key(name);
             let (length, coding) = (has(CONTENT_LENGTH), has(TRANSFER_ENCODING));
             let served = head.status == StatusCode::OK;
-            if length && coding || body.size_hint().lower() > LONGEST_BODY as u64 {
-                return Err("an answer whose length is in doubt or past any that is made".into());
+            if length && coding {
+                return Err("an answer whose length is in doubt".into());
             }
             // Its end would be the connection's, which a break would look like.
             match length || coding {
@@ -407,7 +405,7 @@
                 false => return Ok((head, Bytes::new())),
                 true => {}
             }
-            let body = Limited::new(body, LONGEST_BODY).collect().await?.to_bytes();
+            let body = self.memory.collect(body).await?;
             Ok::<_, Box<dyn std::error::Error + Send + Sync>>((head, body))
         };
         let ended = link.drive(work, until).await;
