--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,4 @@
 //! Every decision of the gateway. The interface (types, events, actions) is `src/api.rs`.
-//!
 //! A request's path: `take` -> its lane's class queue -> `dispatch` -> `send` -> `outcome` -> answer.
 //! A lane is the queue before the node that holds one shard. The mechanism (`docs/design.md`) is the
 //! fair queue in `pick`, the weights in `adapt` and the window in `Lane::learn`; the rest are guards.
@@ -12,9 +11,8 @@
 /// Ticks between two adaptations while nothing has to settle, and at most (8 s).
 const ADAPT_TICKS: u32 = 4;
 const SETTLE_TICKS: u32 = 16;
-/// Weight of the past in a class's averaged delay.
+/// Weight of the past in a class's averaged delay; part of a computed donation that is committed.
 const ALPHA: f64 = 0.5;
-/// Part of a computed donation that is committed.
 const BETA: f64 = 0.5;
 /// Half-width of the band around an aim in which a class is balanced.
 const EPSILON: f64 = 0.1;
@@ -28,25 +26,25 @@
 const WINDOW_START: f64 = 4.0;
 const WINDOW_MIN: f64 = 2.0;
 const WINDOW_MAX: f64 = 32.0;
-/// The window widens while latency per unit stays under this multiple of its recent best ...
+/// Multiples of the recent best latency per unit under which the window widens, and past which it halves.
 const NEAR_BEST: f64 = 1.25;
-/// ... and halves past this one.
 const FAR_FROM_BEST: f64 = 2.0;
-/// Answers that make one latency sample: fewer swing with single heavy requests.
+/// Answers that make one latency sample (fewer swing with heavy requests); how fast the best is forgotten.
 const SAMPLE_ANSWERS: u32 = 6;
-/// How fast the recent best is forgotten, a sample.
 const BEST_FADES: f64 = 0.02;
-/// Weight of a new sample in running means of latency.
+/// Weight of a sample in running means of latency and in a node's recent one; the part of the tightest aim
+/// past which that is pressed.
 const BLEND: f64 = 0.1;
-/// Weight of an answer in a node's recent latency; the part of the tightest aim past which it is pressed.
 const RECENT: f64 = 0.2;
 const PRESSED: f64 = 0.35;
+/// Later answers that show that a send was passed over; the multiple of recent latency that is overdue.
+const PASSED: u32 = 4;
+const OVERDUE: f64 = 12.0;
 /// Shared requests that all hosts together keep out at a pressed node, so that it is heard of.
 const LONE: f64 = 6.0;
 /// What is not known of a node fades, within this many of the tightest aim, to what is heard of all.
 const FADES: f64 = 4.0;
-/// Part of a limit's store that all hosts together leave unspent, for those that start anew: with the
-/// slack it covers one restart of every host while the rest of the store is spent.
+/// Part of a limit's store that is left unspent: with the slack it covers one restart of every host.
 const CUSHION: f64 = 0.15;
 /// Bands of held work: reserved, past the reserve, and what would be late.
 const RESERVED: u8 = 0;
@@ -55,12 +53,12 @@
 /// Part of what a cold node is taken to bear that is used: the rest is for chance.
 const COLD_MARGIN: f64 = 0.75;
 /// First and longest pause, s: of a lane whose node refused or dropped, and before a list call is repeated.
-const BACKOFF_FIRST: f64 = 0.05;
-const BACKOFF_MAX: f64 = 1.0;
-const ASK_FIRST: f64 = 0.5;
-const ASK_MAX: f64 = 8.0;
-/// Part of its time that late work waits for its first send: later, a refusal costs more than it may earn.
+const BACKOFF: (f64, f64) = (0.05, 1.0);
+const ASK: (f64, f64) = (0.5, 8.0);
+/// Part of its time that late work waits for its first send: later, a refusal costs more than it earns.
 const PATIENCE: f64 = 0.45;
+/// Seconds after which a volume's stores are full again, unless its limit takes longer.
+const MEMORY: f64 = 60.0;
 /// Ticks of the caller's clock before a client's deadline at which a held request is answered.
 const ANSWER_TICKS: f64 = 2.0;
 
@@ -148,13 +146,14 @@
     fade: f64,
 }
 
-/// The request that goes next from a lane, and what it was chosen by.
-struct Picked {
-    band: u8,
-    tag: f64,
-    key: f64,
-    class: usize,
-    place: usize,
+/// The request that goes next from a lane: its band, its class's tag and its key, then its class and place.
+type Picked = (u8, f64, f64, usize, usize);
+
+/// An attempt that is out: when sent, whose, and how many sent after it were answered before it.
+struct Out {
+    at: f64,
+    id: RequestId,
+    passed: u32,
 }
 
 /// The queues before one shard's node, and what is known of that node.
@@ -168,7 +167,7 @@
     virtual_time: f64,
     volume_finish: BTreeMap<VolumeId, f64>,
     volume_time: f64,
-    out: Vec<f64>,
+    out: Vec<Out>,
     window: f64,
     was_full: bool,
     sample: (f64, f64, u32),
@@ -208,7 +207,7 @@
     fn latency_now(&self, now: f64, weather: Weather) -> f64 {
         let all = weather.latency * (-(now - weather.heard) / weather.fade).exp();
         let known = all + (self.recent - all) * (-(now - self.heard) / weather.fade).exp();
-        self.out.first().map_or(known, |oldest| known.max(now - oldest))
+        self.out.first().map_or(known, |oldest| known.max(now - oldest.at))
     }
 
     /// Whether one more request may go out: the window, or one after a failure until an answer.
@@ -235,10 +234,9 @@
         (self.sample, self.was_full) = ((0.0, 0.0, 0), false);
     }
 
-    /// Guards against a node that is down, unreachable or full: one request at a time after a pause
-    /// that doubles, so that a dead node costs few attempts and a returning one is not flooded.
+    /// Guards against a node that is down or full: one request at a time after a pause that doubles.
     fn back_off(&mut self, now: f64) {
-        self.closed_until = now + (BACKOFF_FIRST * f64::from(1 << self.failures.min(6))).min(BACKOFF_MAX);
+        self.closed_until = now + (BACKOFF.0 * f64::from(1 << self.failures.min(6))).min(BACKOFF.1);
         self.failures += 1;
         self.window = (self.window / 2.0).max(WINDOW_MIN);
     }
@@ -293,7 +291,7 @@
             ticks_left: ADAPT_TICKS,
             interval: ADAPT_TICKS,
             ask_at: settings.ask_every.map(|_| now),
-            ask_pause: ASK_FIRST,
+            ask_pause: ASK.0,
             wake_at: f64::INFINITY,
             blocked_until: f64::INFINITY,
             weather: Weather { fade: FADES * tightest, ..Weather::default() },
@@ -313,11 +311,12 @@
         }
         self.expire(actions);
         self.blocked_until = f64::INFINITY;
+        self.call_off(actions);
         self.dispatch(actions);
         self.give_up(actions);
         if let Some(at) = self.ask_at.filter(|at| self.now >= *at) {
             actions.push(Action::WatchNodes);
-            self.ask_at = Some(at + self.set.ask_every.unwrap_or(ASK_MAX));
+            self.ask_at = Some(at + self.set.ask_every.unwrap_or(ASK.1));
         }
         self.set_wake_up(actions);
     }
@@ -348,9 +347,9 @@
         if kind == ListKind::Failed && asks {
             // Renewed with backoff: the list service fails when all hosts ask at once.
             self.ask_at = Some(self.now + self.ask_pause * (0.5 + self.chance()));
-            self.ask_pause = (self.ask_pause * 2.0).min(ASK_MAX);
+            self.ask_pause = (self.ask_pause * 2.0).min(ASK.1);
         } else if kind != ListKind::Cached && asks {
-            (self.ask_at, self.ask_pause) = (None, ASK_FIRST);
+            (self.ask_at, self.ask_pause) = (None, ASK.0);
         }
         if kind == ListKind::Failed {
             return;
@@ -439,8 +438,7 @@
         }
     }
 
-    /// A new object goes to the better of two nodes drawn by chance, by expected wait: each host
-    /// sending to the single best at once would make a herd.
+    /// A new object goes to the better of two nodes drawn by chance: the single best would draw a herd.
     fn place(&mut self) -> ShardId {
         let open: Vec<ShardId> =
             self.lanes.iter().filter(|(_, l)| l.target.is_some()).map(|(shard, _)| *shard).collect();
@@ -465,8 +463,7 @@
         let hosts = f64::from(ask.hosts.max(1));
         let plan = self.set.plans.get(ask.plan.0);
         let reserve = plan.map_or(0.0, |p| p.reserve + self.set.most_units);
-        // Rule 5: an earlier life of this host may have spent its part up to the start of this one, so a
-        // start gets only its part of what all hosts leave unspent: the cushion, and the slack.
+        // Rule 5: an earlier life may have spent its part, so a start gets its part of what is left unspent.
         let limit = plan.and_then(|p| p.limit).map_or(0.0, |l| (CUSHION * l.burst + l.slack) / hosts);
         let fresh = Volume { hosts, limit, reserve, at: self.started };
         let volume = self.volumes.entry(ask.volume).or_insert(fresh);
@@ -499,8 +496,8 @@
         }
     }
 
-    /// Answers at once what will not be sent in time: a repeat past its window, and work that its volume's
-    /// limit lets pass neither before it is late nor, being late, within `PATIENCE` of its time.
+    /// Answers at once a repeat past its window, and work that its volume's limit lets pass neither before it
+    /// is late nor, being late, within `PATIENCE` of its time.
     fn give_up(&mut self, actions: &mut Vec<Action>) {
         let queued = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id);
         for id in queued.collect::<Vec<_>>() {
@@ -519,12 +516,11 @@
         }
     }
 
-    /// When a refused client should come again, in seconds: once the limit has its units, the lane is
-    /// open, and a node's present latency has passed.
+    /// Seconds until a refused client should come again: the limit has its units, and the lane is open.
     fn come_again(&mut self, id: RequestId) -> f64 {
         let lane = &self.lanes[&self.held[&id].lane];
         let node = (lane.closed_until - self.now).max(lane.latency_now(self.now, self.weather));
-        let node = if lane.target.is_some() { node } else { BACKOFF_MAX };
+        let node = if lane.target.is_some() { node } else { BACKOFF.1 };
         self.limit_in(id, false).max(node)
     }
 
@@ -575,17 +571,14 @@
             return;
         }
         if let Some(extent) = held.ask.extent.filter(|_| self.set.classes[held.ask.class.0].in_order) {
-            let Some((line, rest)) = self.order.get_mut(&extent) else { return };
+            let Some((line, _)) = self.order.get_mut(&extent) else { return };
             line.retain(|other| *other != id);
-            if line.is_empty() && *rest <= self.now {
-                self.order.remove(&extent);
-            }
         }
         self.held.remove(&id);
     }
 
-    /// Exception: only what was inside its volume's reserve when it came is sampled. What a hot volume
-    /// asks beyond that waits to its deadline, and would draw weight to the class it happens to be in.
+    /// Exception: only what was inside its volume's reserve when it came is sampled: the rest of a hot
+    /// volume's waits long, and would draw weight to the class it happens to be in.
     fn note_delay(&mut self, id: RequestId, delay: f64) {
         if let Some(held) = self.held.get(&id).filter(|h| !h.over && h.reserved) {
             let tick = &mut self.classes[held.ask.class.0].tick;
@@ -593,16 +586,10 @@
         }
     }
 
-    fn outcome(
-        &mut self,
-        id: RequestId,
-        number: usize,
-        end: (Outcome, f64, bool),
-        actions: &mut Vec<Action>,
-    ) {
+    fn outcome(&mut self, id: RequestId, nth: usize, end: (Outcome, f64, bool), actions: &mut Vec<Action>) {
         let ((outcome, elapsed, done), now) = (end, self.now);
         let Some(held) = self.held.get_mut(&id) else { return };
-        let Some(attempt) = held.attempts.get_mut(number).filter(|a| a.outcome.is_none()) else { return };
+        let Some(attempt) = held.attempts.get_mut(nth).filter(|a| a.outcome.is_none()) else { return };
         attempt.outcome = Some(outcome);
         let (shard, epoch, sent_at) = (attempt.shard, attempt.epoch, attempt.at);
         let (class, units, arrived) = (held.ask.class.0, held.ask.units, held.arrived);
@@ -617,13 +604,11 @@
             self.weather.heard = now;
         }
         if let Some(lane) = self.lanes.get_mut(&shard).filter(|l| l.epoch == epoch) {
-            if let Some(place) = lane.out.iter().position(|at| *at == sent_at) {
-                lane.out.remove(place);
-            }
+            lane.out.retain(|o| o.id != id);
             match outcome {
                 Outcome::Ok | Outcome::Error => {
-                    lane.heard = now;
-                    lane.failures = 0;
+                    (lane.heard, lane.failures) = (now, 0);
+                    lane.out.iter_mut().filter(|o| o.at < sent_at).for_each(|o| o.passed += 1);
                     let past = (-(now - lane.served_at) / memory).exp();
                     (lane.usual, lane.served_at) = (lane.usual * past + units / memory, now);
                     lane.latency[class] += BLEND * (elapsed - lane.latency[class]);
@@ -634,23 +619,19 @@
                 Outcome::Cancelled | Outcome::Moot => {}
             }
         }
-        if done || outcome == Outcome::Ok {
-            self.note_delay(id, now - arrived);
-            self.end(id);
-        } else if self.held[&id].over {
-            self.end(id);
-        } else {
-            self.try_again(id, actions);
+        if !done && outcome != Outcome::Ok && !self.held[&id].over {
+            return self.try_again(id, actions);
         }
+        self.note_delay(id, now - arrived);
+        self.end(id);
     }
 
     fn try_again(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let held = &self.held[&id];
         let repeat = self.set.classes[held.ask.class.0].repeat;
-        let ran = held.may_have_run().next().is_some();
         let allowed = held.attempts.len() < self.set.max_attempts
             && held.deadline > self.now + ANSWER_TICKS * self.set.tick
-            && (!ran || repeat != Repeat::Unsafe);
+            && (repeat != Repeat::Unsafe || held.may_have_run().next().is_none());
         if allowed && self.budget_left() {
             self.enqueue(id);
         } else {
@@ -668,11 +649,8 @@
     }
 
     /// Rule 4: units a second this host may send a node that may still be cold. `None`: it is warm.
-    ///
-    /// Its even part of what is guaranteed, growing as the guarantee does, or, if more, most of what
-    /// the rule allows a node that just does what this host used to be served there: over all hosts
-    /// that sums to no more than the node once did. Parts are saved up to a whole request, so with
-    /// many hosts the bound holds in probability; the margin is for that (`docs/design.md`).
+    /// Its even part of what is guaranteed, or, if more, most of what the rule allows a node that does what
+    /// this host was served there before: over all hosts no more than the node did (`docs/design.md`).
     fn cold_rate(&self, lane: &Lane) -> Option<f64> {
         let cold = &self.set.cold;
         let age = self.now - lane.target.as_ref().filter(|t| t.since > 0.0)?.since;
@@ -686,6 +664,26 @@
         Some(even.max(COLD_MARGIN * cold.multiple * share * lane.usual))
     }
 
+    /// Calls off an attempt that is overdue for its size while its node answered later ones: its connection
+    /// fell silent or its answer is lost, and there is time for another.
+    fn call_off(&mut self, actions: &mut Vec<Action>) {
+        let (now, set, held) = (self.now, &self.set, &self.held);
+        for lane in self.lanes.values_mut() {
+            let overdue = (OVERDUE * lane.recent).max(self.tightest);
+            lane.out.retain(|o| {
+                let held = held.get(&o.id).filter(|h| o.passed >= PASSED && set.cancel && !h.over);
+                let Some(held) = held.filter(|h| h.attempts.len() < set.max_attempts) else { return true };
+                let repeat = set.classes[held.ask.class.0].repeat;
+                let late = now - o.at > overdue * (held.ask.units / set.mean_units).max(1.0);
+                let left = held.deadline.min(held.window_end(repeat)) - now;
+                let lost = late && left > overdue && repeat != Repeat::Unsafe;
+                let attempt = held.attempts.len() - 1;
+                actions.extend(lost.then_some(Action::Cancel { request: o.id, attempt }));
+                !lost
+            });
+        }
+    }
+
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         let shards: Vec<ShardId> = self.lanes.keys().copied().collect();
         for shard in shards {
@@ -701,9 +699,8 @@
 
     /// The fair queue: of the classes with sendable work, the one with the lowest start tag; within it,
     /// reserved work by aim, then shared work by its volume's start tag, then what would be late.
-    ///
-    /// Exception: a class whose best request is of a worse band waits for the others' better ones,
-    /// since spare or late work sent first would delay reserved work in the node's own queue.
+    /// Exception: a class whose best request is of a worse band waits for the others' better ones, since what
+    /// is sent first delays the rest in the node's own queue.
     fn pick(&mut self, shard: ShardId) -> Option<Picked> {
         let now = self.now;
         let lane = self.lanes.get_mut(&shard).filter(|l| l.room(now))?;
@@ -714,8 +711,8 @@
             for (place, id) in queue.iter().enumerate() {
                 let Some((band, key)) = self.standing(shard, *id) else { continue };
                 let tag = tags[class];
-                if best.as_ref().is_none_or(|b| (band, tag, key) < (b.band, b.tag, b.key)) {
-                    best = Some(Picked { band, tag, key, class, place });
+                if best.is_none_or(|b| (band, tag, key) < (b.0, b.1, b.2)) {
+                    best = Some((band, tag, key, class, place));
                 }
             }
         }
@@ -723,8 +720,7 @@
         best
     }
 
-    /// The guards, each in one place: whether this request may be sent to the lane's node now, and if
-    /// so its band and its order there.
+    /// The guards, each in one place: whether this request may go to the lane's node now; its band and order.
     fn standing(&mut self, shard: ShardId, id: RequestId) -> Option<(u8, f64)> {
         let (volume, plan) = (self.held[&id].ask.volume, self.held[&id].ask.plan);
         let reserve = self.refill(volume, plan).map_or(-1.0, |(v, _)| v.reserve);
@@ -766,10 +762,8 @@
             false if reserve >= units => (RESERVED, held.aim_at),
             false => (SHARED, tag),
         };
-        // Exception: while answers take longer than `PRESSED` of the tightest aim, the node's own queue
-        // (first come, first served, and filled by every host) would delay reserved work, so late work
-        // waits, and shared work keeps one request out; of many hosts only `LONE` in all, the others
-        // once latency is back under a mark drawn for each request, so that they don't come as one.
+        // Exception: past `PRESSED` the node's own queue would delay reserved work, so late work waits, and
+        // shared work keeps one out; of many hosts only `LONE`, the rest by a mark drawn for each request.
         let crowd = held.draw * f64::from(self.set.hosts) > LONE;
         let wait = match standing.0 {
             RESERVED => crowd && latency * PRESSED > 1.0 + held.draw,
@@ -792,7 +786,7 @@
     }
 
     fn send(&mut self, shard: ShardId, picked: Picked, actions: &mut Vec<Action>) {
-        let Picked { band, class, place, .. } = picked;
+        let (band, _, _, class, place) = picked;
         let (now, weight) = (self.now, self.classes[class].weight);
         let Some(lane) = self.lanes.get_mut(&shard) else { return };
         let Some(target) = lane.target.clone() else { return };
@@ -809,7 +803,7 @@
             lane.volume_time = start;
         }
         lane.cold_store = lane.cold_store.map(|saved| saved - units);
-        lane.out.push(now);
+        lane.out.push(Out { at: now, id, passed: 0 });
         lane.was_full |= lane.out.len() >= lane.window as usize;
         let first = held.attempts.is_empty();
         held.queued = false;
@@ -824,8 +818,16 @@
         }
     }
 
-    /// A sampling tick; every few of them, the weights are adapted.
+    /// A sampling tick; every few of them, the weights are adapted. What is kept for a volume or an extent goes
+    /// once nothing about it differs from a new one's.
     fn tick(&mut self) {
+        let limits = self.set.plans.iter().filter_map(|p| p.limit);
+        let memory = limits.map(|l| l.burst / l.rate).fold(MEMORY, f64::max);
+        self.volumes.retain(|_, volume| self.now - volume.at < memory);
+        self.order.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
+        for lane in self.lanes.values_mut() {
+            lane.volume_finish.retain(|_, finish| *finish > lane.volume_time);
+        }
         for class in self.classes.iter_mut().filter(|c| c.tick.1 > 0) {
             let mean = class.tick.0 / f64::from(class.tick.1);
             class.samples = (class.samples.0 + mean, class.samples.1 + 1);
@@ -883,8 +885,8 @@
     fn set_wake_up(&mut self, actions: &mut Vec<Action>) {
         let margin = ANSWER_TICKS * self.set.tick;
         let expiry = self.expiry.first().map_or(f64::INFINITY, |(bits, _)| f64::from_bits(*bits) - margin);
-        let ask = self.ask_at.unwrap_or(f64::INFINITY);
-        let due = self.next_tick.min(expiry).min(ask).min(self.blocked_until);
+        let due =
+            self.next_tick.min(expiry).min(self.ask_at.unwrap_or(f64::INFINITY)).min(self.blocked_until);
         let due = due.max(self.now + self.set.tick.max(1e-3));
         if due < self.wake_at {
             self.wake_at = due;
--- a/src/logic/adapt_tests.rs
+++ b/src/logic/adapt_tests.rs
@@ -91,3 +91,25 @@
     assert_eq!(intervals[..3], [8, 16, 16]);
     assert_eq!(intervals[6], ADAPT_TICKS);
 }
+
+/// Guards against memory that grows with all volumes and extents ever seen.
+#[test]
+fn what_is_out_of_use_is_forgotten() {
+    let mut set = common::settings();
+    set.classes[0].in_order = true;
+    let mut rig = common::Rig::new(set);
+    for id in 0..50 {
+        let mut ask = common::request(id, common::SAFE);
+        ask.volume = VolumeId(u64::from(id));
+        rig.ask(ask);
+        rig.wait(0.01);
+        rig.outcome(id, 0, Outcome::Ok, 0.01);
+    }
+    let kept = |s: &Scheduler| {
+        let tags: usize = s.lanes.values().map(|l| l.volume_finish.len()).sum();
+        (s.volumes.len(), s.order.len() + tags + s.held.len())
+    };
+    assert_eq!(kept(&rig.scheduler).0, 50);
+    rig.wait(61.0);
+    assert_eq!(kept(&rig.scheduler), (0, 0));
+}
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -106,3 +106,29 @@
         Ok(if taken.bytes.is_empty() { Bytes::new() } else { Bytes::from_owner(taken) })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http_body_util::Full;
+
+    /// Guards against bodies that take the memory together though each is within bounds.
+    #[test]
+    fn bodies_share_the_memory_and_give_their_part_back() {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        let (memory, body) = (Memory::new(32), |length: usize| Full::new(Bytes::from(vec![1; length])));
+        runtime.block_on(async {
+            assert!(
+                matches!(memory.collect(body(LONGEST)).await, Err(BodyError::TooLong)),
+                "a quarter of 12 MB"
+            );
+            let mut held = Vec::new();
+            for _ in 0..4 {
+                held.push(memory.collect(body(3 << 20)).await.expect("room"));
+            }
+            assert!(matches!(memory.collect(body(1)).await, Err(BodyError::Full)));
+            held.pop();
+            assert_eq!(memory.collect(body(1)).await.expect("room again").len(), 1);
+        });
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -194,3 +194,23 @@
     }
     assert!((2.0..=6.0).contains(&units), "{units}: a start's part of four hosts, after one request of one");
 }
+
+/// Guards against a lane that stands still behind an attempt whose connection fell silent.
+#[test]
+fn an_overdue_attempt_is_called_off_once_its_node_answered_later_ones() {
+    let mut rig = Rig::new(settings());
+    assert_eq!(sent(&rig.ask(request(1, SAFE))), [1]);
+    let mut actions = Vec::new();
+    for id in 2..=5 {
+        actions.extend(rig.wait(0.01));
+        actions.extend(rig.ask(request(id, SAFE)));
+        actions.extend(rig.wait(0.01));
+        actions.extend(rig.outcome(id, 0, Outcome::Ok, 0.01));
+    }
+    assert_eq!(sent(&actions), [2, 3, 4, 5]);
+    let called_off = Action::Cancel { request: RequestId(1), attempt: 0 };
+    assert!(!actions.contains(&called_off), "not overdue yet");
+    let later = rig.wait(0.3);
+    assert_eq!(later.iter().filter(|a| **a == called_off).count(), 1);
+    assert_eq!(sent(&rig.outcome(1, 0, Outcome::Cancelled, 0.3)), [1], "and goes again");
+}
