Open the operators' door, with true figures and bans kept apart from the list

Lines at fault: none; there was no door. Ruled out: figures kept in core alone, since a request turned down before the core (an id in use) would be missing. Conclusion: a guard (counters::Flight) counts each request once on both fronts; attempts count at the last byte.

--- a/src/config.rs
+++ b/src/config.rs
@@ -68,6 +68,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// Seed for random numbers.
@@ -86,6 +88,8 @@
 struct ConfigFile {
     name: String,
     listen: SocketAddr,
+    #[serde(default)]
+    ops: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: String,
     limits: Limits,
@@ -110,8 +114,8 @@
         let (mut settings, notes) = convert(file.settings)?;
         let clients_hold = file.limits.sockets / CLIENTS_PART;
         settings.most_held = settings.most_held.min(clients_hold);
-        let ConfigFile { name, listen, discovery, limits, known, .. } = file;
-        Ok(Config { name, listen, discovery, seed, limits, known, settings, notes })
+        let ConfigFile { name, listen, ops, discovery, limits, known, .. } = file;
+        Ok(Config { name, listen, ops, discovery, seed, limits, known, settings, notes })
     }
 }
 
--- a/src/core.rs
+++ b/src/core.rs
@@ -6,7 +6,7 @@
 
 use crate::Scheduler;
 use crate::api::*;
-use crate::counters::Counters;
+use crate::counters::{Counters, Final, Flight};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -157,8 +157,8 @@
 /// The one final answer.
 #[derive(Debug)]
 pub enum Answer {
-    /// Served: the node's body.
-    Served(Bytes),
+    /// Served: the node's body. Whoever passes it on settles the request.
+    Served(Bytes, Flight),
     /// Turned away; trying again does no harm.
     Refused {
         /// Seconds after which a try makes sense; 0 where nothing is known.
@@ -168,7 +168,13 @@
     Failed,
 }
 
-fn refused(wait: f64) -> Answer {
+fn failed(flight: &Flight) -> Answer {
+    flight.settle(Final::Failed);
+    Answer::Failed
+}
+
+fn refused(wait: f64, flight: &Flight) -> Answer {
+    flight.settle(Final::Refused);
     Answer::Refused { wait: wait.clamp(0.0, LONGEST_WAIT) }
 }
 
@@ -332,7 +338,8 @@
 
     /// One request's life, from its taking to its one final answer. Dropping it tells the module that
     /// the client has gone.
-    pub async fn serve<T: Transport>(self: &Rc<Self>, transport: &T, call: Call) -> Answer {
+    pub async fn serve<T: Transport>(self: &Rc<Self>, transport: &T, call: Call, flight: Flight) -> Answer {
+        flight.take();
         let (mut ticket, taken_at) = (self.take(&call), Instant::now());
         let observer = self.observer.borrow().clone();
         if let Some(observer) = &observer {
@@ -343,17 +350,16 @@
         let answer = loop {
             let choice = match timeout_at(last, ticket.mail.recv()).await {
                 Ok(Some(choice)) => choice,
-                Err(_) if last < overdue => break if sent { Answer::Failed } else { refused(0.0) },
+                Err(_) if last < overdue => break if sent { failed(&flight) } else { refused(0.0, &flight) },
                 // Guards against a module that owes an answer: the client gets one in any case.
                 Ok(None) | Err(_) => {
                     self.counters.overdue.add();
                     log::error!("core: no choice by the deadline of request {}", ticket.id.0);
-                    return Answer::Failed;
+                    return failed(&flight);
                 }
             };
             match choice {
                 Choice::Send { attempt, node, abandon_at } => {
-                    self.counters.attempts.add();
                     sent = true;
                     let until = self.clock.instant(abandon_at).min(last);
                     // The mail comes first: an attempt called off before its first byte is never written.
@@ -367,38 +373,32 @@
                             let served = reply.outcome == Outcome::Ok;
                             self.report(&ticket, attempt, &reply);
                             if served {
-                                break Answer::Served(reply.body);
+                                break Answer::Served(reply.body, flight);
                             }
                         }
                         Err(later) => {
                             self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled));
                             match later {
-                                Some(Choice::Refuse { wait }) => break refused(wait),
-                                Some(Choice::Fail) => break Answer::Failed,
+                                Some(Choice::Refuse { wait }) => break refused(wait, &flight),
+                                Some(Choice::Fail) => break failed(&flight),
                                 _ => {}
                             }
                         }
                     }
                 }
                 Choice::Cancel => {}
-                Choice::Refuse { wait } => break refused(wait),
-                Choice::Fail => break Answer::Failed,
+                Choice::Refuse { wait } => break refused(wait, &flight),
+                Choice::Fail => break failed(&flight),
             }
         };
         ticket.answered = true;
         if let Some(observer) = &observer {
             observer.answered(&call, &answer, taken_at.elapsed());
         }
-        match answer {
-            Answer::Served(_) => self.counters.served.add(),
-            Answer::Refused { .. } => self.counters.refused.add(),
-            Answer::Failed => self.counters.failed.add(),
-        }
         answer
     }
 
     fn take(self: &Rc<Self>, call: &Call) -> Ticket {
-        self.counters.taken.add();
         let (mail, receiver) = mpsc::unbounded_channel();
         let id = {
             let state = &mut *self.state.borrow_mut();
@@ -462,7 +462,6 @@
     fn drop(&mut self) {
         let dispatcher = self.dispatcher.clone();
         if !self.answered {
-            dispatcher.counters.gone.add();
             dispatcher.tell(&[Event::ClientGone { request: self.id }]);
         }
         let out = dispatcher.state.borrow().mailboxes.get(&self.id).and_then(|m| m.out);
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,8 +1,10 @@
-//! Counts of what the head takes in, sends and answers.
+//! Figures of what the head takes in, sends and answers: one source for the operators' door, the exporters,
+//! the log and the exit.
 
-use crate::api::Outcome;
+use crate::api::{ClassId, Outcome};
 use std::cell::Cell;
 use std::fmt;
+use std::rc::Rc;
 
 /// One count.
 #[derive(Debug, Default)]
@@ -20,16 +22,46 @@
     }
 }
 
+/// A request's one final answer, as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// With a node's body, to its end.
+    Served,
+    /// Turned away; trying again does no harm.
+    Refused,
+    /// Anything else.
+    Failed,
+}
+
+/// The final answers of one class.
+#[derive(Debug)]
+struct OfClass {
+    name: String,
+    served: Counter,
+    refused: Counter,
+    failed: Counter,
+}
+
+impl OfClass {
+    fn pairs(&self) -> [(&'static str, &Counter); 3] {
+        [("served", &self.served), ("refused", &self.refused), ("failed", &self.failed)]
+    }
+}
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// All counts of one head.
         #[derive(Debug, Default)]
-        pub struct Counters { $($(#[$doc])* pub $name: Counter,)* }
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Counter,)*
+            in_flight: Cell<u64>,
+            classes: Vec<OfClass>,
+        }
 
         impl Counters {
             /// Names and figures, in a fixed order.
             pub fn pairs(&self) -> Vec<(&'static str, u64)> {
-                vec![$((stringify!($name), self.$name.get()),)*]
+                vec![$((stringify!($name), self.$name.get()),)* ("in_flight", self.in_flight.get())]
             }
         }
     };
@@ -50,7 +82,7 @@
     overdue,
     /// Requests that could not be understood.
     bad_input,
-    /// Attempts begun.
+    /// Attempts whose last byte was written.
     attempts,
     /// Attempts served.
     ok,
@@ -93,12 +125,95 @@
     /// Watches on the node list that ended.
     watches_lost,
     /// Configurations that were read again and applied.
-    reloads,
+    reloads_ok,
     /// Configurations that could not be read again.
     reloads_failed,
 }
 
+/// One request, from the head that named its class to its one final answer. Dropped without one, it is
+/// counted as gone; the gauge falls on every path.
+#[derive(Debug)]
+pub struct Flight {
+    counters: Rc<Counters>,
+    class: ClassId,
+    taken: Cell<bool>,
+    settled: Cell<bool>,
+}
+
+impl Flight {
+    /// Its last byte has come.
+    pub fn take(&self) {
+        if !self.taken.replace(true) {
+            self.counters.taken.add();
+            self.counters.in_flight.set(self.counters.in_flight.get() + 1);
+        }
+    }
+
+    /// It has its final answer; only the first word counts.
+    pub fn settle(&self, end: Final) {
+        if self.settled.replace(true) {
+            return;
+        }
+        let (counters, class) = (&self.counters, self.counters.classes.get(self.class.0));
+        let (all, one) = match end {
+            Final::Served => (&counters.served, class.map(|c| &c.served)),
+            Final::Refused => (&counters.refused, class.map(|c| &c.refused)),
+            Final::Failed => (&counters.failed, class.map(|c| &c.failed)),
+        };
+        all.add();
+        one.into_iter().for_each(Counter::add);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if self.taken.get() {
+            self.counters.in_flight.set(self.counters.in_flight.get() - 1);
+            if !self.settled.get() {
+                self.counters.gone.add();
+            }
+        }
+    }
+}
+
 impl Counters {
+    /// Counts for classes of these names.
+    pub fn new(classes: &[String]) -> Rc<Counters> {
+        let class = |name: &String| OfClass {
+            name: name.clone(),
+            served: Counter::default(),
+            refused: Counter::default(),
+            failed: Counter::default(),
+        };
+        Rc::new(Counters { classes: classes.iter().map(class).collect(), ..Counters::default() })
+    }
+
+    /// A request of a class begins.
+    pub fn flight(self: &Rc<Self>, class: ClassId) -> Flight {
+        Flight { counters: self.clone(), class, taken: Cell::new(false), settled: Cell::new(false) }
+    }
+
+    /// The text that the operators' door shows: the Prometheus exposition format. `gauges` are figures of the
+    /// moment that are kept elsewhere.
+    pub fn exposition(&self, gauges: &[(&str, usize)]) -> String {
+        let mut text = String::from("# TYPE app_requests counter\n");
+        for class in &self.classes {
+            for (outcome, count) in class.pairs() {
+                let count = count.get();
+                text += &format!("app_requests{{class=\"{}\",outcome=\"{outcome}\"}} {count}\n", class.name);
+            }
+        }
+        for (name, value) in self.pairs().iter().filter(|(n, _)| !["served", "refused", "failed"].contains(n))
+        {
+            let kind = if is_gauge(name) { "gauge" } else { "counter" };
+            text += &format!("# TYPE app_{name} {kind}\napp_{name} {value}\n");
+        }
+        for (name, value) in gauges {
+            text += &format!("# TYPE app_{name} gauge\napp_{name} {value}\n");
+        }
+        text
+    }
+
     /// Counts an attempt's end.
     pub fn outcome(&self, outcome: Outcome) {
         match outcome {
@@ -114,6 +229,11 @@
     }
 }
 
+/// Whether a figure tells the moment, and may fall.
+pub fn is_gauge(name: &str) -> bool {
+    name == "in_flight"
+}
+
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (place, (name, count)) in self.pairs().into_iter().enumerate() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The program from start to exit, as named phases of one object.
 
 use crate::api::Settings;
+use crate::bans::Bans;
 use crate::config::Config;
 use crate::core::{Clock, Dispatcher};
 use crate::counters::Counters;
@@ -10,12 +11,14 @@
 use crate::front::block::BlockFront;
 use crate::front::block::config::{BlockConfigError, Target};
 use crate::front::http::HttpFront;
+use crate::front::ops::OpsFront;
 use crate::memory::Memory;
 use crate::node::Nodes;
 use crate::ops::Ops;
 use crate::plugin::{Plugin, PluginError};
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -187,7 +190,7 @@
                 return log::error!("daemon: reload: {problem}; the running settings stay");
             }
         };
-        self.counters.reloads.add();
+        self.counters.reloads_ok.add();
         let fixed = [
             ("name", config.name != self.name),
             ("listen", config.listen != self.listen),
@@ -209,20 +212,29 @@
     config: Config,
     block: Option<String>,
     ops: Ops,
+    folder: Option<PathBuf>,
     phases: Rc<Phases>,
     counters: Rc<Counters>,
 }
 
 impl Daemon {
     /// A program that has not started yet, with the configuration out of the file at `path`. `block` names
-    /// the block front's file; without it, that front is off, as is all that `ops` does not hold.
-    pub fn new(path: String, config: Config, block: Option<String>, ops: Ops) -> Daemon {
-        Daemon { path, config, block, ops, phases: Rc::default(), counters: Rc::default() }
+    /// the block front's file; without it, that front is off, as is all that `ops` does not hold. `folder` is
+    /// where the processes of one head, and they alone, leave word to each other.
+    pub fn new(
+        path: String,
+        config: Config,
+        block: Option<String>,
+        ops: Ops,
+        folder: Option<PathBuf>,
+    ) -> Daemon {
+        let counters = Counters::new(&config.notes.class_names);
+        Daemon { path, config, block, ops, folder, phases: Rc::default(), counters }
     }
 
     /// Runs until SIGTERM or SIGINT has been served to its end. Needs a local task set.
     pub async fn run(self, signals: Signals) -> Result<(), DaemonError> {
-        let Daemon { path, config, block, ops, phases, counters } = self;
+        let Daemon { path, config, block, ops, folder, phases, counters } = self;
         let Signals { mut terminate, mut interrupt, mut reread, mut ask } = signals;
         let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let (settings, notes) = (config.settings, config.notes);
@@ -233,8 +245,14 @@
         let (connect_timeout, conn_idle) = (notes.connect_timeout, notes.conn_idle);
         let nodes = Nodes::new(budget.clone(), memory.clone(), counters.clone(), connect_timeout, conn_idle);
         let zones = notes.zone_names.clone();
-        let directory = Directory::new(dispatcher.clone(), nodes.clone(), counters.clone(), zones);
+        let bans = Rc::new(Bans::load(folder.as_deref(), &config.name));
+        let directory = Directory::new(dispatcher.clone(), nodes.clone(), counters.clone(), bans, zones);
         let listener = listen(config.listen, "http").await?;
+        if let Some(address) = config.ops {
+            let listener = listen(address, "ops").await?;
+            let door = OpsFront::new(phases.clone(), counters.clone(), directory.clone());
+            spawn_local(door.listen(listener));
+        }
         if let Some(target) = block {
             let listener = listen(target.listen, "block").await?;
             let (dispatcher, nodes, phases) = (dispatcher.clone(), nodes.clone(), phases.clone());
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the whole node list, then a watch on its changes, for as long as the program runs.
 
 use crate::api::*;
+use crate::bans::Bans;
 use crate::core::Dispatcher;
 use crate::counters::Counters;
 use crate::node::{Nodes, Place};
@@ -12,7 +13,8 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -100,12 +102,41 @@
     pub boot_ms: f64,
 }
 
-/// Keeps the module's list and the transport's places in step with discovery.
+/// How many names of nodes are known that were ever listed.
+const MOST_NAMES: usize = 4096;
+
+/// An entry as the list has it, without what operators say of it.
+#[derive(Clone)]
+struct Listed {
+    info: NodeInfo,
+    address: Option<SocketAddr>,
+}
+
+/// Names that were listed once, the latest of them.
+#[derive(Default)]
+struct Seen {
+    known: HashSet<String>,
+    order: VecDeque<String>,
+}
+
+impl Seen {
+    fn note(&mut self, name: &str) {
+        if self.known.insert(name.into()) {
+            self.order.push_back(name.into());
+            let old = (self.order.len() > MOST_NAMES).then(|| self.order.pop_front()).flatten();
+            old.into_iter().for_each(|old| _ = self.known.remove(&old));
+        }
+    }
+}
+
+/// Keeps the module's list and the transport's places in step with discovery and with the operators' bans.
 pub struct Directory {
     dispatcher: Rc<Dispatcher>,
     nodes: Rc<Nodes>,
     counters: Rc<Counters>,
-    names: RefCell<HashMap<String, NodeId>>,
+    bans: Rc<Bans>,
+    names: RefCell<HashMap<String, Listed>>,
+    seen: RefCell<Seen>,
     named: Cell<u64>,
     zones: RefCell<Vec<String>>,
     version: Cell<u64>,
@@ -117,10 +148,53 @@
         dispatcher: Rc<Dispatcher>,
         nodes: Rc<Nodes>,
         counters: Rc<Counters>,
+        bans: Rc<Bans>,
         zones: Vec<String>,
     ) -> Rc<Directory> {
-        let (names, named, version) = (RefCell::default(), Cell::new(0), Cell::new(0));
-        Rc::new(Directory { dispatcher, nodes, counters, names, named, zones: RefCell::new(zones), version })
+        let (named, version, zones) = (Cell::new(0), Cell::new(0), RefCell::new(zones));
+        let (names, seen) = (RefCell::default(), RefCell::default());
+        Rc::new(Directory { dispatcher, nodes, counters, bans, names, seen, named, zones, version })
+    }
+
+    /// How many nodes are on the list, and how many of them get no work.
+    pub fn gauges(&self) -> [(&'static str, usize); 2] {
+        let names = self.names.borrow();
+        let out = names.iter().filter(|(name, l)| l.info.state != NodeState::Ready || self.bans.holds(name));
+        [("bricks_known", names.len()), ("bricks_excluded", out.count())]
+    }
+
+    /// Takes a node out by hand, or calls it back; false for one that was never listed.
+    pub fn ban(&self, name: &str, out: bool) -> io::Result<bool> {
+        let known = self.seen.borrow().known.contains(name) || self.bans.names().iter().any(|n| n == name);
+        if known {
+            self.bans.set(name, out, self.dispatcher.clock().now())?;
+            log::info!("discovery: {name}: {} by hand", if out { "out" } else { "back" });
+            self.bans_changed();
+        }
+        Ok(known)
+    }
+
+    /// Tells transport and module what the bans make of the list.
+    pub fn bans_changed(&self) {
+        let entries = self.names.borrow().iter().map(|(name, listed)| self.settle(name, listed)).collect();
+        self.dispatcher.tell(&[Event::Nodes { kind: ListKind::Changes, nodes: entries }]);
+    }
+
+    /// A listed node as it is to be used, told to the transport: one that is out is left as one that drains
+    /// is, and one that is back has started anew, whatever the list says yet.
+    fn settle(&self, name: &str, listed: &Listed) -> NodeInfo {
+        let mut info = listed.info.clone();
+        if self.bans.holds(name) {
+            info.state = NodeState::Draining;
+        }
+        info.since = self.bans.returned(name).map_or(info.since, |at| info.since.max(at));
+        match listed.address {
+            Some(address) if info.state != NodeState::Gone => {
+                self.nodes.place(info.node, Place { address, state: info.state });
+            }
+            _ => self.nodes.forget(info.node),
+        }
+        info
     }
 
     /// Takes in a list: the transport first, so that nothing is written to a node that just left.
@@ -132,17 +206,16 @@
             self.names.borrow_mut().retain(|name, node| {
                 let stays = listed.contains(name.as_str());
                 if !stays {
-                    self.nodes.forget(*node);
+                    self.nodes.forget(node.info.node);
                 }
                 stays
             });
         }
-        let entries: Vec<NodeInfo> = list.targets.iter().filter_map(|target| self.entry(target)).collect();
+        let entries: Vec<NodeInfo> = list.targets.iter().map(|target| self.entry(target)).collect();
         self.dispatcher.tell(&[Event::Nodes { kind, nodes: entries }]);
     }
 
-    fn entry(&self, target: &Target) -> Option<NodeInfo> {
-        let node = self.node(target);
+    fn entry(&self, target: &Target) -> NodeInfo {
         let state = match target.state.as_str() {
             "ready" => NodeState::Ready,
             "draining" => NodeState::Draining,
@@ -152,41 +225,30 @@
                 NodeState::Draining
             }
         };
-        let state = match (state, target.endpoint.parse::<SocketAddr>()) {
-            (NodeState::Gone, _) => {
-                self.nodes.forget(node);
-                NodeState::Gone
-            }
-            (state, Ok(address)) => {
-                self.nodes.place(node, Place { address, state });
-                state
-            }
+        let (state, address) = match (state, target.endpoint.parse::<SocketAddr>()) {
+            (NodeState::Gone, _) => (NodeState::Gone, None),
+            (state, Ok(address)) => (state, Some(address)),
             (_, Err(problem)) => {
                 log::warn!("discovery: {}: {}: {problem}, left out", target.uid, target.endpoint);
                 self.counters.bad_input.add();
-                self.nodes.forget(node);
-                NodeState::Gone
+                (NodeState::Gone, None)
             }
         };
         let since = if target.boot_ms > 0.0 { target.boot_ms / 1000.0 } else { 0.0 };
-        Some(NodeInfo { node, shard: ShardId(target.pod_group), since, zone: self.zone(&target.az), state })
-    }
-
-    /// The number that stands for a name. A name whose node is gone is not kept: another that comes has a
-    /// number of its own, and over time names come without end.
-    fn node(&self, target: &Target) -> NodeId {
+        // A name whose node is gone is not kept: another that comes has a number of its own, and over time
+        // names come without end.
         let mut names = self.names.borrow_mut();
-        let known = match target.state.as_str() {
-            "gone" => names.remove(&target.uid),
-            _ => names.get(&target.uid).copied(),
-        };
-        known.unwrap_or_else(|| {
-            let node = NodeId(self.named.replace(self.named.get() + 1));
-            if target.state != "gone" {
-                names.insert(target.uid.clone(), node);
-            }
-            node
-        })
+        let node = names.get(&target.uid).map(|known| known.info.node);
+        let node = node.unwrap_or_else(|| NodeId(self.named.replace(self.named.get() + 1)));
+        let (shard, zone) = (ShardId(target.pod_group), self.zone(&target.az));
+        let listed = Listed { info: NodeInfo { node, shard, since, zone, state }, address };
+        self.seen.borrow_mut().note(&target.uid);
+        let info = self.settle(&target.uid, &listed);
+        match state {
+            NodeState::Gone => _ = names.remove(&target.uid),
+            _ => _ = names.insert(target.uid.clone(), listed),
+        }
+        info
     }
 
     fn zone(&self, name: &str) -> ZoneId {
--- a/src/export.rs
+++ b/src/export.rs
@@ -1,7 +1,7 @@
 //! Counters out: to Graphite in its plaintext protocol, and to collectd as PUTVAL commands of its plain
 //! text protocol. Both are off unless the operations file names them.
 
-use crate::counters::Counters;
+use crate::counters::{Counters, is_gauge};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -60,10 +60,12 @@
     counters.pairs().iter().map(|(name, value)| format!("{prefix}.{name} {value} {at}\n")).collect()
 }
 
-/// The report's commands for collectd: each counter is a DERIVE, whose rate collectd works out.
+/// The report's commands for collectd: each counter is a DERIVE, whose rate collectd works out, or a GAUGE.
 pub fn collectd_lines(counters: &Counters, host: &str, interval: f64) -> Vec<String> {
-    let line =
-        |(name, value)| format!("PUTVAL \"{host}/flaxgap/derive-{name}\" interval={interval} N:{value}\n");
+    let line = |(name, value): (&str, u64)| {
+        let kind = if is_gauge(name) { "gauge" } else { "derive" };
+        format!("PUTVAL \"{host}/flaxgap/{kind}-{name}\" interval={interval} N:{value}\n")
+    };
     counters.pairs().into_iter().map(line).collect()
 }
 
--- a/src/front/block/session.rs
+++ b/src/front/block/session.rs
@@ -6,6 +6,7 @@
 use super::scsi::{self, Command, Sense, status};
 use super::{BlockFront, SessionHandle};
 use crate::core::{Answer, Call, Envelope, Transport, Verb, seconds};
+use crate::counters::Final;
 use bytes::{Bytes, BytesMut};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -518,14 +519,18 @@
             envelope: Rc::new(envelope),
         };
         let abort = self.running.spawn_local(async move {
-            let result = match front.dispatcher.serve(&*front.transport, call).await {
-                Answer::Served(_) if verb == Verb::Write => {
+            let flight = front.counters.flight(call.class);
+            let result = match front.dispatcher.serve(&*front.transport, call, flight).await {
+                Answer::Served(_, flight) if verb == Verb::Write => {
+                    flight.settle(Final::Served);
                     Ended::Good { data: Bytes::new(), moved: place.length }
                 }
-                Answer::Served(data) if data.len() == place.length => {
+                Answer::Served(data, flight) if data.len() == place.length => {
+                    flight.settle(Final::Served);
                     Ended::Good { data, moved: place.length }
                 }
-                Answer::Served(body) => {
+                Answer::Served(body, flight) => {
+                    flight.settle(Final::Failed);
                     log::warn!("block: {} bytes for a read of {}", body.len(), place.length);
                     Ended::Check(scsi::READ_ERROR)
                 }
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::config::WireNotes;
 use crate::core::{Answer, Call, Dispatcher, Envelope, Transport, Verb, seconds};
-use crate::counters::Counters;
+use crate::counters::{Counters, Final};
 use crate::daemon::{Phase, Phases};
 use crate::descriptors::{Budget, Slot};
 use crate::front::intake::{Intake, LONGEST_HEAD, MOST_FIELDS, Watch};
@@ -246,28 +246,46 @@
             "/-/counters" => return plain(StatusCode::OK, format!("{}\n", self.counters)),
             _ => {}
         }
-        let call = match doubtful {
+        let fields = match doubtful {
             true => Err(BadRequest::Length),
-            false => self.call(request, whole_by).await,
+            false => Fields::read(request.method(), request.uri().path(), request.headers(), &self.notes),
         };
+        let fields = match fields {
+            Ok(fields) => fields,
+            Err(problem) => return self.turn_down(&problem),
+        };
+        let flight = self.counters.flight(fields.class);
+        let call = self.call(request, fields, whole_by).await;
         // A second request with an id would be a second copy at the node.
         match call.and_then(|call| {
             let fresh = self.dispatcher.claim(&call.envelope.id);
             if fresh { Ok(call) } else { Err(BadRequest::Duplicate) }
         }) {
             Err(problem) => {
-                self.counters.bad_input.add();
-                log::debug!("http: {problem}");
-                plain(problem.status(), format!("{problem}\n"))
+                let status = problem.status();
+                let refused = status == StatusCode::SERVICE_UNAVAILABLE;
+                flight.settle(if refused { Final::Refused } else { Final::Failed });
+                self.turn_down(&problem)
             }
-            Ok(call) => word(self.dispatcher.serve(&*self.transport, call).await),
+            Ok(call) => word(self.dispatcher.serve(&*self.transport, call, flight).await),
         }
     }
 
+    /// Answers what can't be served.
+    fn turn_down(&self, problem: &BadRequest) -> Response<Full<Bytes>> {
+        self.counters.bad_input.add();
+        log::debug!("http: {problem}");
+        plain(problem.status(), format!("{problem}\n"))
+    }
+
     /// The call that a request makes.
-    async fn call(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Call, BadRequest> {
+    async fn call(
+        &self,
+        request: Request<Incoming>,
+        fields: Fields,
+        whole_by: Instant,
+    ) -> Result<Call, BadRequest> {
         let (head, body) = request.into_parts();
-        let fields = Fields::read(&head.method, head.uri.path(), &head.headers, &self.notes)?;
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
         let bytes = |name| head.headers.get(name).map(|v: &HeaderValue| Bytes::copy_from_slice(v.as_bytes()));
         let id = bytes("x-correlation-id").unwrap_or_default();
@@ -375,7 +393,10 @@
 /// Words the core's answer.
 fn word(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
-        Answer::Served(body) => Response::new(Full::new(body)),
+        Answer::Served(body, flight) => {
+            flight.settle(Final::Served);
+            Response::new(Full::new(body))
+        }
         Answer::Refused { wait } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, come again\n");
             if wait > 0.0 {
--- /dev/null
+++ b/src/front/ops.rs
@@ -0,0 +1,145 @@
+//! The operators' door: one call a connection, over the state that the other fronts share.
+//!
+//! Its connections have slots of their own beside the budget of descriptors, so that neither load nor clients
+//! delay it. When all are taken, the caller that has kept one longest without a whole call gives it up.
+
+use crate::counters::Counters;
+use crate::daemon::{Phase, Phases};
+use crate::discovery::Directory;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::timeout;
+
+/// Connections at a time; the budget keeps as many descriptors free for them.
+pub const SLOTS: usize = 16;
+/// How long a connection is kept at most.
+const KEPT: Duration = Duration::from_secs(6);
+/// Pause after the system would not give a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Longest head of a call.
+const LONGEST_HEAD: usize = 8 * 1024;
+
+/// What all calls share.
+pub struct OpsFront {
+    phases: Rc<Phases>,
+    counters: Rc<Counters>,
+    directory: Rc<Directory>,
+    /// Connections without a whole call, the oldest first.
+    waiting: RefCell<VecDeque<Rc<Notify>>>,
+    free: Arc<Semaphore>,
+}
+
+impl OpsFront {
+    /// A door without callers.
+    pub fn new(phases: Rc<Phases>, counters: Rc<Counters>, directory: Rc<Directory>) -> Rc<OpsFront> {
+        let free = Arc::new(Semaphore::new(SLOTS));
+        Rc::new(OpsFront { phases, counters, directory, waiting: RefCell::default(), free })
+    }
+
+    /// Accepts callers for as long as it is polled.
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.clone().admit(stream).await,
+                Err(problem) => {
+                    log::warn!("ops: accept: {problem}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Serves one connection in a task of its own, once there is a slot.
+    async fn admit(self: Rc<Self>, stream: TcpStream) {
+        if self.free.available_permits() == 0 {
+            if let Some(oldest) = self.waiting.borrow_mut().pop_front() {
+                oldest.notify_one();
+            }
+        }
+        // Calls take no time; whoever holds the last slot is answered, or gives it up.
+        let Ok(slot) = self.free.clone().acquire_owned().await else { return };
+        let give_up = Rc::new(Notify::new());
+        self.waiting.borrow_mut().push_back(give_up.clone());
+        tokio::task::spawn_local(async move {
+            let _slot = slot;
+            let call = service_fn(|request: Request<Incoming>| {
+                self.waiting.borrow_mut().retain(|other| !Rc::ptr_eq(other, &give_up));
+                let answer = self.answer(&request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let mut http = http1::Builder::new();
+            http.keep_alive(false).max_buf_size(LONGEST_HEAD);
+            tokio::select! {
+                ended = timeout(KEPT, http.serve_connection(TokioIo::new(stream), call)) => match ended {
+                    Ok(Ok(())) => {}
+                    Ok(Err(problem)) => log::debug!("ops: {problem}"),
+                    Err(_) => log::debug!("ops: no whole call"),
+                },
+                () = give_up.notified() => log::debug!("ops: a slot was wanted"),
+            }
+            self.waiting.borrow_mut().retain(|other| !Rc::ptr_eq(other, &give_up));
+        });
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let (method, wanted) = match request.uri().path() {
+            "/ops/readiness" | "/ops/stats" => (request.method(), Method::GET),
+            "/ops/bricks/down" | "/ops/bricks/up" => (request.method(), Method::PUT),
+            _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
+        };
+        if *method != wanted {
+            let mut answer = text(StatusCode::METHOD_NOT_ALLOWED, format!("{method} has no meaning here\n"));
+            let allow = HeaderValue::from_str(wanted.as_str());
+            allow.into_iter().for_each(|allow| _ = answer.headers_mut().insert(ALLOW, allow));
+            return answer;
+        }
+        match request.uri().path() {
+            "/ops/readiness" => {
+                let phase = self.phases.now();
+                let ready = phase == Phase::Ready;
+                let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                text(status, format!("{phase:?}\n"))
+            }
+            "/ops/stats" => text(StatusCode::OK, self.counters.exposition(&self.directory.gauges())),
+            path => {
+                let query = request.uri().query().unwrap_or_default();
+                let mut named = form_urlencoded::parse(query.as_bytes()).filter(|(name, _)| name == "host");
+                let (Some((_, name)), None) = (named.next(), named.next()) else {
+                    return text(StatusCode::BAD_REQUEST, "one host has to be named\n");
+                };
+                let out = path == "/ops/bricks/down";
+                match self.directory.ban(&name, out) {
+                    Ok(true) => {
+                        text(StatusCode::OK, format!("{name} {}\n", if out { "out" } else { "back" }))
+                    }
+                    Ok(false) => text(StatusCode::NOT_FOUND, "never listed\n"),
+                    Err(problem) => {
+                        log::error!("ops: bans: {problem}");
+                        text(StatusCode::INTERNAL_SERVER_ERROR, format!("not saved: {problem}\n"))
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+    response
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 extern crate self as flaxgap;
 
 pub mod api;
+pub mod bans;
 pub mod config;
 pub mod core;
 pub mod counters;
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,10 +21,13 @@
     let local = tokio::task::LocalSet::new();
     let signals = local.block_on(&runtime, async { Signals::take() })?;
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no configuration")?;
-    let config = Config::load(&path)?;
+    let mut config = Config::load(&path)?;
+    if let (None, Some(address)) = (config.ops, named("LB_OPS")) {
+        config.ops = Some(address.parse().map_err(|e| format!("LB_OPS: {address}: {e}"))?);
+    }
     log::info!("daemon: {} starts, discovery at {}", config.name, config.discovery);
     let ops = named("FLAXGAP_OPS").map(|path| Ops::load(&path)).transpose()?.unwrap_or_default();
-    let daemon = Daemon::new(path, config, named("FLAXGAP_BLOCK"), ops);
+    let daemon = Daemon::new(path, config, named("FLAXGAP_BLOCK"), ops, named("TMPDIR").map(Into::into));
     Ok(local.block_on(&runtime, daemon.run(signals))?)
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -56,6 +56,7 @@
 /// How far the exchange that a connection carries has come.
 #[derive(Default)]
 struct Progress {
+    counters: Rc<Counters>,
     body_taken: Cell<bool>,
     wrote: Cell<bool>,
     whole: Cell<bool>,
@@ -173,7 +174,9 @@
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.progress.wrote.get() && self.progress.body_taken.get() {
-            self.progress.whole.set(true);
+            if !self.progress.whole.replace(true) {
+                self.progress.counters.attempts.add();
+            }
         }
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
@@ -367,7 +370,8 @@
         if let Err(problem) = stream.set_nodelay(true) {
             log::debug!("node: {address}: {problem}");
         }
-        let (stream, progress) = (Rc::new(RefCell::new(stream)), Rc::new(Progress::default()));
+        let progress = Progress { counters: self.counters.clone(), ..Progress::default() };
+        let (stream, progress) = (Rc::new(RefCell::new(stream)), Rc::new(progress));
         let io = TokioIo::new(Watched { stream: stream.clone(), progress: progress.clone() });
         let mut http = http1::Builder::new();
         http.max_buf_size(LONGEST_HEAD);
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -125,7 +125,7 @@
     fn answered(&self, call: &Call, answer: &Answer, after: Duration) {
         let mut map = fields(call);
         let (word, wait) = match answer {
-            Answer::Served(_) => ("served", 0.0),
+            Answer::Served(..) => ("served", 0.0),
             Answer::Refused { wait } => ("refused", *wait),
             Answer::Failed => ("failed", 0.0),
         };
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -300,8 +300,9 @@
     child: Child,
     pub http: SocketAddr,
     pub block: Option<SocketAddr>,
+    pub ops: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
-    folder: std::path::PathBuf,
+    pub folder: std::path::PathBuf,
 }
 
 impl Head {
@@ -324,7 +325,8 @@
         std::fs::write(folder.join("config.json"), config(discovery, sockets, known)).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap"));
         command.env("LB_CONFIG", folder.join("config.json")).env("RUST_LOG", "info").stderr(Stdio::piped());
-        command.env_remove("FLAXGAP_BLOCK").envs(extra.iter().copied());
+        command.env_remove("FLAXGAP_BLOCK").env("LB_OPS", "127.0.0.1:0").env("TMPDIR", &folder);
+        command.envs(extra.iter().copied());
         if let Some(block) = block {
             std::fs::write(folder.join("block.toml"), block).expect("written");
             command.env("FLAXGAP_BLOCK", folder.join("block.toml"));
@@ -336,7 +338,9 @@
         thread::spawn(move || {
             from.lines().map_while(Result::ok).for_each(|l| lines.lock().expect("log").push(l))
         });
-        let mut head = Head { child, http: ([127, 0, 0, 1], 0).into(), block: None, log, folder };
+        let nowhere = ([127, 0, 0, 1], 0).into();
+        let mut head = Head { child, http: nowhere, block: None, ops: nowhere, log, folder };
+        head.ops = head.address("ops: listening on ");
         head.http = head.address("http: listening on ");
         head.block = block.map(|_| head.address("block: listening on "));
         wait(|| (get(head.http, "/-/ready").status() == 200).then_some(()));
@@ -393,6 +397,12 @@
 
 static IDS: AtomicU32 = AtomicU32::new(1);
 
+/// A call at the operators' door: its status and text.
+pub fn call(ops: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    let answer = Client::new(ops).ask(&format!("{method} {path} HTTP/1.1\r\nHost: head\r\n\r\n"), b"");
+    (answer.status(), String::from_utf8(answer.body).expect("text"))
+}
+
 /// One HTTP connection to the head.
 pub struct Client {
     stream: TcpStream,
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -353,7 +353,7 @@
     wait(|| (client.ask(&read(2.0), b"").body == b"new").then_some(()));
     wait(|| (after.asked().len() == 2).then_some(()));
     assert!(after.asked()[0].starts_with("GET /api/targets ") && after.asked()[1].contains("since=1 "));
-    assert_eq!(["reloads", "reloads_failed"].map(|name| head.counter(name)), [2, 1]);
+    assert_eq!(["reloads_ok", "reloads_failed"].map(|name| head.counter(name)), [2, 1]);
     after.push(&[entry("s-2", new.address, 0, "gone"), entry("s-1", old.address, 0, "ready")]);
     wait(|| (client.ask(&read(2.0), b"").body == b"old").then_some(()));
 }
--- /dev/null
+++ b/tests/stories_operators.rs
@@ -0,0 +1,75 @@
+//! What operators meet day by day: the door, its figures, bans and upgrades.
+
+mod peers;
+use peers::*;
+use std::time::{Duration, Instant};
+
+fn read() -> String {
+    Client::request("play-fetch", "network", 1, 0.5, 0)
+}
+
+fn figure(head: &Head, name: &str) -> u64 {
+    let (status, text) = call(head.ops, "GET", "/ops/stats");
+    let line = text.lines().find_map(|line| line.strip_prefix(name)).expect("a figure");
+    assert_eq!(status, 200);
+    line.trim().parse().expect("a number")
+}
+
+/// Guards against a door that load or silent callers close, and against figures that a dropped request or one
+/// turned down before the core leaves untrue.
+#[test]
+fn the_door_answers_beside_silent_callers_and_its_figures_are_true() {
+    let brick = Brick::start(|_, m| if m.line.contains("hush") { Step::Silent } else { Step::Serve(vec![]) });
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let head = Head::start(&discovery, None, &[]);
+    let silent: Vec<Client> = (0..40).map(|_| Client::new(head.ops)).collect();
+    let asked = Instant::now();
+    assert_eq!(call(head.ops, "GET", "/ops/readiness"), (200, "Ready\n".into()));
+    assert!(asked.elapsed() < Duration::from_secs(1));
+    for (method, path, status) in
+        [("GET", "/ops/none", 404), ("PUT", "/ops/stats", 405), ("PUT", "/ops/bricks/down", 400)]
+    {
+        assert_eq!(call(head.ops, method, path).0, status, "{path}");
+    }
+    drop(silent);
+    let mut client = Client::new(head.http);
+    let open = read();
+    assert_eq!(client.ask(&open, b"").status(), 200);
+    assert_eq!(client.ask(&open, b"").status(), 409, "the id was another's");
+    client.send(&read().replacen(" HTTP", "?hush HTTP", 1), b"");
+    wait(|| (figure(&head, "app_attempts") == 2).then_some(()));
+    assert_eq!(figure(&head, "app_in_flight"), 1);
+    drop(client);
+    wait(|| (figure(&head, "app_in_flight") == 0).then_some(()));
+    let shown = call(head.ops, "GET", "/ops/stats").1;
+    let shown: Vec<&str> = shown.lines().filter(|l| !l.contains("_connections")).collect();
+    insta::assert_snapshot!(shown.join("\n"));
+}
+
+/// Guards against a list, a reload or an end that lifts a ban, against bans on what was never there, and
+/// against a file that is damaged.
+#[test]
+fn a_ban_holds_whatever_the_list_says_until_the_call_back() {
+    let brick = |name: &'static str| Brick::start(move |_, _| Step::Serve(name.into()));
+    let (one, two) = (brick("one"), brick("two"));
+    let discovery =
+        Discovery::start(&[entry("s-1", one.address, 0, "ready"), entry("s-2", two.address, 1, "ready")]);
+    let head = Head::start(&discovery, None, &[]);
+    assert_eq!(call(head.ops, "PUT", "/ops/bricks/down?host=s-9").0, 404);
+    for _ in 0..2 {
+        assert_eq!(call(head.ops, "PUT", "/ops/bricks/down?host=s%2d1").0, 200, "calls may be repeated");
+    }
+    discovery.push(&[entry("s-1", one.address, 0, "ready")]);
+    head.reload(&config(&discovery, 1024, "null"));
+    wait(|| (figure(&head, "app_list_changes") >= 2 && figure(&head, "app_reloads_ok") == 1).then_some(()));
+    let mut client = Client::new(head.http);
+    assert_eq!((client.ask(&read(), b"").status(), one.seen().len()), (503, 0));
+    assert_eq!(client.ask(&read().replace("shard=0", "shard=1"), b"").body, b"two");
+    assert_eq!([figure(&head, "app_bricks_known"), figure(&head, "app_bricks_excluded")], [2, 1]);
+    let next = Head::start(&discovery, None, &[("TMPDIR", head.folder.to_str().expect("a path"))]);
+    assert_eq!(figure(&next, "app_bricks_excluded"), 1, "the next process finds it");
+    std::fs::write(head.folder.join("flaxgap-n0.bans"), "{").expect("written");
+    assert_eq!(call(head.ops, "PUT", "/ops/bricks/up?host=s-1").0, 200);
+    wait(|| (client.ask(&read(), b"").body == b"one").then_some(()));
+    assert_eq!(figure(&head, "app_bricks_excluded"), 0);
+}
