--- a/src/api.rs
+++ b/src/api.rs
@@ -427,6 +427,11 @@
     },
     /// A wake-up that was asked for is due.
     WakeUp,
+    /// Another process of this host has come or gone: each spends this part of what is the host's.
+    Share {
+        /// The part, up to 1.
+        part: f64,
+    },
 }
 
 /// What a scheduler asks for.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::front::block::config::{BlockConfigError, Target};
 use crate::front::http::HttpFront;
 use crate::front::ops::OpsFront;
+use crate::handover::{Handover, Shared};
 use crate::memory::Memory;
 use crate::node::Nodes;
 use crate::ops::Ops;
@@ -22,7 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -39,6 +40,9 @@
 /// How long the whole list is tried for before the list known from an earlier life has to do.
 const LIST_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Connections that the system holds until they are accepted.
+const BACKLOG: u32 = 1024;
+
 /// Where the program stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -56,6 +60,7 @@
 pub struct Phases {
     phase: watch::Sender<Phase>,
     closing: watch::Sender<bool>,
+    accepting: watch::Sender<bool>,
     connections: watch::Sender<usize>,
 }
 
@@ -73,6 +78,7 @@
         Phases {
             phase: watch::Sender::new(Phase::Starting),
             closing: watch::Sender::new(false),
+            accepting: watch::Sender::new(true),
             connections: watch::Sender::new(0),
         }
     }
@@ -96,6 +102,30 @@
         }
     }
 
+    /// Whether this process accepts connections: while two processes of a head live, one of them does.
+    pub fn accept(&self, accepting: bool) {
+        self.accepting.send_replace(accepting);
+    }
+
+    /// Whether connections are better opened anew, to the process that accepts now.
+    pub fn leaving(&self) -> bool {
+        self.closing() || !*self.accepting.borrow()
+    }
+
+    /// The next connection, while this process accepts them.
+    pub async fn next(&self, listener: &TcpListener) -> io::Result<TcpStream> {
+        let mut accepting = self.accepting.subscribe();
+        loop {
+            // The sender lives in `self`, so the wait can't fail.
+            let _ = accepting.wait_for(|accepting| *accepting).await;
+            tokio::select! {
+                biased;
+                _ = accepting.changed() => {}
+                accepted = listener.accept() => return accepted.map(|(stream, _)| stream),
+            }
+        }
+    }
+
     /// Counts a connection for as long as the guard lives.
     pub fn connection(&self) -> ConnectionGuard {
         self.connections.send_modify(|open| *open += 1);
@@ -246,15 +276,30 @@
         let nodes = Nodes::new(budget.clone(), memory.clone(), counters.clone(), connect_timeout, conn_idle);
         let zones = notes.zone_names.clone();
         let bans = Rc::new(Bans::load(folder.as_deref(), &config.name));
-        let directory = Directory::new(dispatcher.clone(), nodes.clone(), counters.clone(), bans, zones);
-        let listener = listen(config.listen, "http").await?;
+        let directory =
+            Directory::new(dispatcher.clone(), nodes.clone(), counters.clone(), bans.clone(), zones);
+        let shared = Shared {
+            dispatcher: dispatcher.clone(),
+            budget: budget.clone(),
+            memory: memory.clone(),
+            phases: phases.clone(),
+            bans,
+            directory: directory.clone(),
+        };
+        let handover = Handover::new(folder.as_deref(), &config.name, shared);
         if let Some(address) = config.ops {
-            let listener = listen(address, "ops").await?;
-            let door = OpsFront::new(phases.clone(), counters.clone(), directory.clone());
+            let listener = listen(address, "ops", None, false)?;
+            let door = OpsFront::new(phases.clone(), counters.clone(), directory.clone(), handover.clone());
             spawn_local(door.listen(listener));
         }
+        let mut inherited = handover.succeed().await.into_iter();
+        // An heir serves once it is ready; until then the older process does.
+        phases.accept(inherited.len() == 0);
+        let listener = Rc::new(listen(config.listen, "http", inherited.next(), handover.possible())?);
+        let mut sockets = vec![listener.clone()];
         if let Some(target) = block {
-            let listener = listen(target.listen, "block").await?;
+            let listener = Rc::new(listen(target.listen, "block", inherited.next(), handover.possible())?);
+            sockets.push(listener.clone());
             let (dispatcher, nodes, phases) = (dispatcher.clone(), nodes.clone(), phases.clone());
             let (budget, counters) = (budget.clone(), counters.clone());
             let front = BlockFront::new(dispatcher, nodes, target, phases, budget, counters, config.seed);
@@ -292,7 +337,14 @@
         });
         let keep_time = spawn_local(async move { dispatcher.keep_time().await });
         let sweep = spawn_local(async move { nodes.sweep().await });
-        let list = spawn_local(obtain_list(directory, config.known, discovery, phases.clone()));
+        let serve = {
+            let (handover, phases) = (handover.clone(), phases.clone());
+            move || {
+                handover.serve(sockets);
+                phases.enter(Phase::Ready);
+            }
+        };
+        let list = spawn_local(obtain_list(directory, config.known, discovery, serve));
 
         let told = async {
             loop {
@@ -325,14 +377,17 @@
             () = front.clone().listen(&listener) => {}
             () = sleep_until(accepting.max(end - WIND_UP)) => {}
             () = gone => {}
+            // Clients find the newer process at once.
+            () = handover.yielded() => {}
         }
         phases.close_idle();
-        // What the system has accepted for us counts as taken.
-        while let Some(slot) = front.budget.slot(Side::Client) {
+        // What the system has accepted for us counts as taken, unless a newer process takes it.
+        while let Some(slot) = front.budget.slot(Side::Client).filter(|_| !handover.has_yielded()) {
             let Ok(Ok((stream, _))) = timeout_at(Instant::now(), listener.accept()).await else { break };
             front.admit(stream, slot);
         }
         drop(listener);
+        handover.close();
         if timeout_at(end, phases.all_closed()).await.is_err() {
             log::warn!("daemon: connections still open at the end");
         }
@@ -342,13 +397,31 @@
     }
 }
 
-async fn listen(address: SocketAddr, front: &str) -> Result<TcpListener, DaemonError> {
-    let bound = async {
-        let listener = TcpListener::bind(address).await?;
-        log::info!("{front}: listening on {}", listener.local_addr()?);
-        Ok(listener)
+/// Listens at an address: with the socket that an older process passed on, or with one of its own, which can
+/// be `shared` with another process of this head.
+fn listen(
+    address: SocketAddr,
+    front: &str,
+    inherited: Option<std::net::TcpListener>,
+    shared: bool,
+) -> Result<TcpListener, DaemonError> {
+    let fits = |socket: &std::net::TcpListener| {
+        socket.local_addr().is_ok_and(|at| at == address || address.port() == 0 && at.ip() == address.ip())
+    };
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(shared)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
     };
-    bound.await.map_err(|e| DaemonError::Listen(address, e))
+    let listener = match inherited.filter(fits) {
+        Some(socket) => TcpListener::from_std(socket),
+        None => bind(),
+    };
+    let listener = listener.map_err(|e| DaemonError::Listen(address, e))?;
+    log::info!("{front}: listening on {}", listener.local_addr().unwrap_or(address));
+    Ok(listener)
 }
 
 /// Gets the node list, from discovery or else from the earlier life, then follows its changes.
@@ -356,7 +429,7 @@
     directory: Rc<Directory>,
     known: Option<serde_json::Value>,
     mut discovery: watch::Receiver<SocketAddr>,
-    phases: Rc<Phases>,
+    serve: impl FnOnce(),
 ) {
     let known: Option<List> = known.and_then(|known| match serde_json::from_value(known) {
         Ok(list) => Some(list),
@@ -385,6 +458,6 @@
         }
         sleep(Duration::from_millis(200)).await;
     }
-    phases.enter(Phase::Ready);
+    serve();
     directory.follow(discovery).await;
 }
--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -34,6 +34,7 @@
 /// Counts open connections and knows which are idle.
 pub struct Budget {
     limit: Cell<usize>,
+    part: Cell<f64>,
     open: Cell<usize>,
     closing: Cell<usize>,
     freed: Notify,
@@ -48,6 +49,7 @@
     pub fn new(limit: usize, counters: Rc<Counters>) -> Rc<Budget> {
         let budget = Budget {
             limit: Cell::new(0),
+            part: Cell::new(1.0),
             open: Cell::new(0),
             closing: Cell::new(0),
             freed: Notify::new(),
@@ -62,15 +64,25 @@
 
     /// Changes the limit; what is open past a lower one stays until it ends.
     pub fn set_limit(&self, limit: usize) {
-        self.limit.set(limit.saturating_sub(KEPT).max(8));
+        self.limit.set(limit);
+    }
+
+    /// Changes the part of the descriptors that is this process's; idle connections past it are closed.
+    pub fn set_part(&self, part: f64) {
+        self.part.set(part);
+        while self.open.get() - self.closing.get() > self.limit() && self.reclaim() {}
+    }
+
+    fn limit(&self) -> usize {
+        ((self.limit.get() as f64 * self.part.get()) as usize).saturating_sub(KEPT).max(8)
     }
 
     /// A slot for a connection about to be opened or just accepted. When all are taken, another connection
     /// is told to close; `None` if there is none to close, or if a client has to wait until it has.
     pub fn slot(self: &Rc<Self>, side: Side) -> Option<Slot> {
         let limit = match side {
-            Side::Client => self.limit.get() - self.limit.get() / FOR_NODES,
-            Side::Node => self.limit.get(),
+            Side::Client => self.limit() - self.limit() / FOR_NODES,
+            Side::Node => self.limit(),
         };
         if self.open.get() - self.closing.get() >= limit && !self.reclaim() {
             return None;
--- a/src/front/block/mod.rs
+++ b/src/front/block/mod.rs
@@ -136,11 +136,11 @@
     }
 
     /// Accepts initiators for as long as it is polled.
-    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+    pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
             let slot = self.budget.client_slot().await;
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+            let stream = match self.phases.next(&listener).await {
+                Ok(stream) => stream,
                 Err(problem) => {
                     log::warn!("block: accept: {problem}");
                     self.budget.reclaim();
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -6,7 +6,7 @@
 use crate::counters::{Counters, Final};
 use crate::daemon::{Phase, Phases};
 use crate::descriptors::{Budget, Slot};
-use crate::front::intake::{Intake, LONGEST_HEAD, MOST_FIELDS, Watch};
+use crate::front::intake::{Intake, LONGEST_HEAD, MOST_FIELDS, Watch, quiet};
 use crate::memory::{BodyError, Memory};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -220,7 +220,7 @@
             service.slot.busy();
             let mut response = service.front.answer(request, whole_by, doubtful).await;
             service.watch.answered();
-            if service.front.phases.closing() {
+            if service.front.phases.leaving() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             service.rest();
@@ -320,8 +320,8 @@
     pub async fn listen(self: Rc<Self>, listener: &TcpListener) {
         loop {
             let slot = self.budget.client_slot().await;
-            match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream, slot),
+            match self.phases.next(listener).await {
+                Ok(stream) => self.admit(stream, slot),
                 Err(problem) => {
                     // Never the end of the program: a descriptor is freed, or the client has left.
                     log::warn!("http: accept: {problem}");
@@ -346,7 +346,8 @@
         let mut closing = self.phases.subscribe_closing();
         tokio::task::spawn_local(async move {
             let _guard = guard;
-            let io = TokioIo::new(Intake::new(stream, watch.clone()));
+            let stream = Rc::new(stream);
+            let io = TokioIo::new(Intake::new(stream.clone(), watch.clone()));
             let mut http = http1::Builder::new();
             http.max_buf_size(LONGEST_HEAD).max_headers(MOST_FIELDS);
             let mut connection = std::pin::pin!(http.serve_connection(io, TowerToHyperService::new(service)));
@@ -357,14 +358,20 @@
                 let _ = closing.wait_for(|closing| *closing).await;
                 sleep_until(opened + FIRST_REQUEST).await;
             };
-            let (mut end, mut told) = (std::pin::pin!(end), false);
+            let (mut end, mut told, mut ending) = (std::pin::pin!(end), false, false);
             let mut due = std::pin::pin!(sleep_until(watch.due().unwrap_or(opened)));
             let ended = loop {
                 tokio::select! {
                     biased;
                     ended = connection.as_mut() => break ended,
                     () = close.notified(), if !told => {}
-                    () = end.as_mut(), if !told => {}
+                    // What has come and was not read yet is answered, and ends the connection.
+                    () = end.as_mut(), if !told && !ending => {
+                        ending = true;
+                        if !quiet(&stream) {
+                            continue;
+                        }
+                    }
                     () = watch.moved() => {
                         if let Some(at) = watch.due() {
                             due.as_mut().reset(at);
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -99,9 +99,16 @@
     Nothing,
 }
 
+/// Whether nothing has come on a connection that was not read yet, by the system's word: the runtime may not
+/// have heard of it.
+pub fn quiet(stream: &TcpStream) -> bool {
+    let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+    peeked.is_err_and(|problem| problem.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// A client's connection.
 pub struct Intake {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     watch: Rc<Watch>,
     held: BytesMut,
     /// How many of the held bytes may be handed on.
@@ -111,7 +118,7 @@
 
 impl Intake {
     /// A connection from which nothing was read yet.
-    pub fn new(stream: TcpStream, watch: Rc<Watch>) -> Intake {
+    pub fn new(stream: Rc<TcpStream>, watch: Rc<Watch>) -> Intake {
         Intake { stream, watch, held: BytesMut::new(), passed: 0, next: Next::Head }
     }
 
@@ -180,38 +187,55 @@
                 return Poll::Pending;
             }
             let mut piece = [0; PIECE];
-            let mut read = ReadBuf::new(&mut piece);
-            ready!(Pin::new(&mut this.stream).poll_read(cx, &mut read))?;
-            if read.filled().is_empty() {
-                return Poll::Ready(Ok(()));
+            ready!(this.stream.poll_read_ready(cx))?;
+            match this.stream.try_read(&mut piece) {
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(some) => this.held.extend_from_slice(&piece[..some]),
+                Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => {}
+                Err(problem) => return Poll::Ready(Err(problem)),
+            }
+        }
+    }
+}
+
+impl Intake {
+    fn poll_send(
+        &self,
+        cx: &mut Context<'_>,
+        send: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match send(&self.stream) {
+                Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => {}
+                sent => return Poll::Ready(sent),
             }
-            this.held.extend_from_slice(read.filled());
         }
     }
 }
 
 impl AsyncWrite for Intake {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_send(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.poll_send(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/src/front/ops.rs
+++ b/src/front/ops.rs
@@ -6,6 +6,7 @@
 use crate::counters::Counters;
 use crate::daemon::{Phase, Phases};
 use crate::discovery::Directory;
+use crate::handover::Handover;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -38,6 +39,7 @@
     phases: Rc<Phases>,
     counters: Rc<Counters>,
     directory: Rc<Directory>,
+    handover: Rc<Handover>,
     /// Connections without a whole call, the oldest first.
     waiting: RefCell<VecDeque<Rc<Notify>>>,
     free: Arc<Semaphore>,
@@ -45,9 +47,14 @@
 
 impl OpsFront {
     /// A door without callers.
-    pub fn new(phases: Rc<Phases>, counters: Rc<Counters>, directory: Rc<Directory>) -> Rc<OpsFront> {
+    pub fn new(
+        phases: Rc<Phases>,
+        counters: Rc<Counters>,
+        directory: Rc<Directory>,
+        handover: Rc<Handover>,
+    ) -> Rc<OpsFront> {
         let free = Arc::new(Semaphore::new(SLOTS));
-        Rc::new(OpsFront { phases, counters, directory, waiting: RefCell::default(), free })
+        Rc::new(OpsFront { phases, counters, directory, handover, waiting: RefCell::default(), free })
     }
 
     /// Accepts callers for as long as it is polled.
@@ -124,6 +131,7 @@
                 let out = path == "/ops/bricks/down";
                 match self.directory.ban(&name, out) {
                     Ok(true) => {
+                        self.handover.bans_changed();
                         text(StatusCode::OK, format!("{name} {}\n", if out { "out" } else { "back" }))
                     }
                     Ok(false) => text(StatusCode::NOT_FOUND, "never listed\n"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod discovery;
 pub mod export;
 pub mod front;
+pub mod handover;
 mod logic;
 pub mod memory;
 pub mod node;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -246,6 +246,8 @@
     set: Settings,
     tightest: f64,
     started: f64,
+    /// This process's part of what is the host's, and whether a volume starts with something unearned.
+    part: (f64, f64),
     random: u64,
     now: f64,
     classes: Vec<ClassState>,
@@ -277,6 +279,7 @@
             classes: settings.classes.iter().map(class).collect(),
             tightest,
             started: now,
+            part: (1.0, 1.0),
             random: seed | 1,
             now,
             lanes: BTreeMap::new(),
@@ -338,6 +341,10 @@
             }
             Event::Probed { .. } => {}
             Event::WakeUp => self.wake_at = f64::INFINITY,
+            Event::Share { part } => {
+                (self.part, self.started) = ((*part, 0.0), self.now);
+                self.volumes.values_mut().for_each(|volume| volume.at = self.now);
+            }
         }
     }
 
@@ -350,10 +357,7 @@
         } else if kind != ListKind::Cached && asks {
             (self.ask_at, self.ask_pause) = (None, ASK.0);
         }
-        if kind == ListKind::Failed {
-            return;
-        }
-        if kind != ListKind::Changes {
+        if !matches!(kind, ListKind::Changes | ListKind::Failed) {
             self.lanes.values_mut().for_each(|lane| lane.nodes.clear());
         }
         for info in nodes {
@@ -394,8 +398,7 @@
         let deadline = self.now + ask.remaining;
         // Not every site marks repeats: who waits for less than the class's time has waited before.
         let aim_at = class.aim + self.now.min(deadline - class.deadline);
-        let mut ask = ask.clone();
-        ask.units = if ask.units > 0.0 { ask.units } else { 0.0 };
+        let ask = Request { units: ask.units.max(0.0), ..ask.clone() };
         if let Some(extent) = ask.extent.filter(|_| class.in_order) {
             self.order.entry(extent).or_default().0.push_back(ask.id);
         }
@@ -439,8 +442,7 @@
 
     /// A new object goes to the better of two nodes drawn by chance: the single best would draw a herd.
     fn place(&mut self) -> ShardId {
-        let open: Vec<ShardId> =
-            self.lanes.iter().filter(|(_, l)| l.target.is_some()).map(|(shard, _)| *shard).collect();
+        let open: Vec<ShardId> = self.lanes.iter().filter(|l| l.1.target.is_some()).map(|l| *l.0).collect();
         if open.is_empty() {
             return self.lanes.keys().next().copied().unwrap_or(ShardId(0));
         }
@@ -464,7 +466,7 @@
         let reserve = plan.map_or(0.0, |p| p.reserve + self.set.most_units);
         // Rule 5: an earlier life may have spent its part, so a start gets its part of what is left unspent.
         let limit = plan.and_then(|p| p.limit).map_or(0.0, |l| (CUSHION * l.burst + l.slack) / hosts);
-        let fresh = Volume { hosts, limit, reserve, at: self.started };
+        let fresh = Volume { hosts, limit: limit * self.part.1, reserve, at: self.started };
         let volume = self.volumes.entry(ask.volume).or_insert(fresh);
         if hosts > volume.hosts {
             (volume.limit, volume.hosts) = (volume.limit.min(limit), hosts);
@@ -474,11 +476,11 @@
     /// Brings a volume's stores up to now.
     fn refill(&mut self, id: VolumeId, plan: PlanId) -> Option<(&mut Volume, Option<Limit>)> {
         let plan = self.set.plans.get(plan.0)?;
-        let volume = self.volumes.get_mut(&id)?;
+        let (volume, part) = (self.volumes.get_mut(&id)?, self.part.0);
         let passed = self.now - std::mem::replace(&mut volume.at, self.now);
         if let Some(l) = plan.limit {
-            volume.limit =
-                (volume.limit + passed * l.rate / volume.hosts).min((1.0 - CUSHION) * l.burst / volume.hosts);
+            let part = part / volume.hosts;
+            volume.limit = (volume.limit + passed * l.rate * part).min((1.0 - CUSHION) * l.burst * part);
         }
         let most = plan.reserve + self.set.most_units;
         volume.reserve = (volume.reserve + passed * plan.reserve / volume.hosts.sqrt()).min(most);
@@ -528,8 +530,8 @@
     /// Rule 5: seconds until a first send fits its volume's limit, if none of the volume's goes before.
     fn limit_in(&mut self, id: RequestId, late: bool) -> f64 {
         let ask = &self.held[&id].ask;
-        let (class, units, volume, plan) = (ask.class.0, ask.units, ask.volume, ask.plan);
-        let stores = self.refill(volume, plan).map(|(v, l)| (v.limit, l, 1.0 / v.hosts));
+        let (class, units, volume, plan, part) = (ask.class.0, ask.units, ask.volume, ask.plan, self.part.0);
+        let stores = self.refill(volume, plan).map(|(v, l)| (v.limit, l, part / v.hosts));
         let Some((store, Some(limit), part)) = stores else { return 0.0 };
         // Kept for worthier work to come: of the store for late work, else what comes in within an aim.
         let most = self.set.classes.iter().map(|c| c.worth).fold(1e-9, f64::max);
@@ -661,7 +663,7 @@
         let from = cold.from.clamp(0.01, 1.0);
         let ramp = ((age - cold.span).max(0.0) / cold.warm_within.max(cold.span)).min(1.0);
         let share = from + (1.0 - from) * ramp;
-        let even = cold.units / f64::from(self.set.hosts) / cold.span * share / from;
+        let even = self.part.0 * cold.units / f64::from(self.set.hosts) / cold.span * share / from;
         Some(even.max(COLD_MARGIN * cold.multiple * share * lane.usual))
     }
 
@@ -686,8 +688,7 @@
     }
 
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        let shards: Vec<ShardId> = self.lanes.keys().copied().collect();
-        for shard in shards {
+        for shard in self.lanes.keys().copied().collect::<Vec<_>>() {
             while let Some(picked) = self.pick(shard) {
                 self.send(shard, picked, actions);
             }
@@ -781,9 +782,8 @@
         let wait = self.limit_in(id, late);
         if wait > 0.0 {
             self.blocked_until = self.blocked_until.min(now + wait);
-            return None;
         }
-        Some(standing)
+        (wait <= 0.0).then_some(standing)
     }
 
     fn send(&mut self, shard: ShardId, picked: Picked, actions: &mut Vec<Action>) {
@@ -829,9 +829,8 @@
             lane.volume_finish.retain(|_, finish| *finish > lane.volume_time);
         }
         for class in self.classes.iter_mut().filter(|c| c.tick.1 > 0) {
-            let mean = class.tick.0 / f64::from(class.tick.1);
-            class.samples = (class.samples.0 + mean, class.samples.1 + 1);
-            class.tick = (0.0, 0);
+            let (sum, count) = std::mem::take(&mut class.tick);
+            class.samples = (class.samples.0 + sum / f64::from(count), class.samples.1 + 1);
         }
         self.ticks_left -= 1;
         if self.ticks_left == 0 {
@@ -843,9 +842,9 @@
     /// One adaptation: the worst underweight class is given what overweight ones can spare.
     fn adapt(&mut self) -> bool {
         for class in self.classes.iter_mut().filter(|c| c.samples.1 > 0) {
-            let mean = class.samples.0 / f64::from(class.samples.1);
+            let (sum, count) = std::mem::take(&mut class.samples);
+            let mean = sum / f64::from(count);
             let delay = class.delay.map_or(mean, |past| ALPHA * past + (1.0 - ALPHA) * mean);
-            class.samples = (0.0, 0);
             class.delay = Some(delay);
             let first = delay / class.weight;
             // Before the first fit this is the first guess: delay over share.
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -37,6 +37,7 @@
 pub struct Memory {
     held: Arc<AtomicUsize>,
     limit: Cell<usize>,
+    part: Cell<f64>,
 }
 
 /// A body's part, given back when the last who has the body drops it.
@@ -73,7 +74,7 @@
 impl Memory {
     /// The part for bodies of a machine with so many MB.
     pub fn new(memory_mb: usize) -> Rc<Memory> {
-        let memory = Memory { held: Arc::default(), limit: Cell::new(0) };
+        let memory = Memory { held: Arc::default(), limit: Cell::new(0), part: Cell::new(1.0) };
         memory.set_limit(memory_mb);
         Rc::new(memory)
     }
@@ -84,9 +85,14 @@
         self.limit.set((memory_mb.saturating_mul(1 << 20).saturating_sub(OWN) / 2).max(OWN / 4));
     }
 
+    /// Changes the part of it that is this process's.
+    pub fn set_part(&self, part: f64) {
+        self.part.set(part);
+    }
+
     /// Takes a body whole, and no more of it than may be held.
     pub async fn collect<B: Body<Data = Bytes>>(&self, body: B) -> Result<Bytes, BodyError<B::Error>> {
-        let (limit, hint) = (self.limit.get(), body.size_hint());
+        let (limit, hint) = ((self.limit.get() as f64 * self.part.get()) as usize, body.size_hint());
         let longest = LONGEST.min(limit / ROOM_FOR);
         let longest = if hint.exact().is_some() { longest } else { longest.min(LONGEST_UNSAID) };
         if hint.lower() > longest as u64 {
--- a/src/node.rs
+++ b/src/node.rs
@@ -173,10 +173,9 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.progress.wrote.get() && self.progress.body_taken.get() {
-            if !self.progress.whole.replace(true) {
-                self.progress.counters.attempts.add();
-            }
+        let out = self.progress.wrote.get() && self.progress.body_taken.get();
+        if out && !self.progress.whole.replace(true) {
+            self.progress.counters.attempts.add();
         }
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -258,6 +258,40 @@
     }
 }
 
+/// Guards against two processes of one host that each spend all of its part, upgrade after upgrade.
+#[test]
+fn a_limit_holds_over_upgrades() {
+    let share = |rig: &mut Rig, part| rig.tell(vec![Event::Share { part }]);
+    let (mut rigs, mut store, mut id) = (vec![Rig::new(settings())], 30.0f64, 0);
+    rigs[0].now += 20.0;
+    for step in 0..600 {
+        if step % 100 == 50 {
+            share(&mut rigs[0], 0.5);
+            let mut heir = Rig::new(settings());
+            heir.now = rigs[0].now;
+            heir.scheduler = flaxgap::Scheduler::new(settings(), 9, heir.now).expect("settings");
+            heir.list(ListKind::Cached, vec![node(N.0, 0)]);
+            share(&mut heir, 0.5);
+            rigs.push(heir);
+        } else if step % 100 == 99 {
+            rigs.remove(0);
+            share(&mut rigs[0], 1.0);
+        }
+        for rig in &mut rigs {
+            rig.now += 0.02;
+            id += 1;
+            let mut out = sent(&rig.ask(Request { plan: LIMITED, ..request(id, SAFE) }));
+            while let Some(id) = out.pop() {
+                store -= 2.0;
+                out.extend(sent(&rig.outcome(id, 0, Outcome::Ok, 0.001)));
+            }
+        }
+        assert!(store >= -1.0, "{store} at step {step}");
+        store = (store + 6.0 * 0.02).min(30.0);
+    }
+    assert!(store < 20.0, "it is made use of: {store}");
+}
+
 /// What many hosts send a node in its first `spans` spans after its start, each with work waiting.
 fn sent_cold(hosts: u32, spans: f64) -> f64 {
     let mut set = settings();
--- a/tests/stories_operators.rs
+++ b/tests/stories_operators.rs
@@ -73,3 +73,58 @@
     wait(|| (client.ask(&read(), b"").body == b"one").then_some(()));
     assert_eq!(figure(&head, "app_bricks_excluded"), 0);
 }
+
+/// Guards against an upgrade that loses a request, closes unread what waits to be accepted, forgets a ban or has
+/// two processes spend one head's share.
+#[test]
+fn a_newer_process_takes_over_and_the_older_one_ends_what_it_took() {
+    let brick = Brick::start(|_, m| match m.line.contains("slow") {
+        true => Step::After(Duration::from_millis(700), Box::new(Step::Serve(b"kept".to_vec()))),
+        false => Step::Serve(vec![]),
+    });
+    let discovery =
+        Discovery::start(&[entry("s-1", brick.address, 0, "ready"), entry("s-2", brick.address, 1, "ready")]);
+    let mut old = Head::start(&discovery, None, &[]);
+    let mut open = Client::new(old.http);
+    open.send(&Client::request("play-fetch", "network", 1, 2.0, 0).replacen(" HTTP", "?slow HTTP", 1), b"");
+    brick.wait_for(1);
+    let new = Head::start(&discovery, None, &[("TMPDIR", old.folder.to_str().expect("a path"))]);
+    assert_eq!(new.http, old.http, "one socket");
+    assert!(
+        old.logged("0.5 of the head's share").is_some() && new.logged("0.5 of the head's share").is_some()
+    );
+    assert_eq!(call(old.ops, "PUT", "/ops/bricks/down?host=s-2").0, 200);
+    wait(|| (figure(&new, "app_bricks_excluded") == 1).then_some(()));
+    let taken = figure(&new, "app_taken");
+    old.signal("-TERM");
+    for _ in 0..50 {
+        assert_eq!(Client::new(old.http).ask(&read(), b"").status(), 200);
+    }
+    assert_eq!(figure(&new, "app_taken"), taken + 50, "all go to the newer one");
+    let kept = open.answer().expect("an answer");
+    assert_eq!((&kept.body[..], kept.header("connection")), (&b"kept"[..], "close"));
+    assert!(old.ended());
+    wait(|| new.logged("this process has 1 of the head's share"));
+}
+
+/// Guards against waiting for an older process that is mute, and against giving up on a newer one's early end.
+#[test]
+fn a_mute_older_process_and_a_newer_one_that_dies_leave_a_head_that_serves() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let folder = std::env::temp_dir().join(format!("flaxgap-mute-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let mute = std::os::unix::net::UnixListener::bind(folder.join("flaxgap-n0.sock")).expect("a socket");
+    let head = Head::start(&discovery, None, &[("TMPDIR", folder.to_str().expect("a path"))]);
+    assert!(head.logged("the older process is mute").is_some());
+    drop(mute);
+    wait(|| head.logged("this process has 1 of the head's share"));
+    let next = Head::start(&discovery, None, &[("TMPDIR", folder.to_str().expect("a path"))]);
+    wait(|| head.logged("0.5 of the head's share"));
+    let waiting = Client::new(head.http);
+    drop(next);
+    wait(|| head.logged("the newer process has ended"));
+    drop(waiting);
+    assert_eq!(Client::new(head.http).ask(&read(), b"").status(), 200, "the older one accepts again");
+    std::fs::remove_dir_all(folder).expect("removed");
+}
