Pass long bodies on as they come, and follow all forms of HTTP/1.1 to their end

Lines at fault: Memory::collect (whole bodies, 4 MB at most), node.rs (until held over the answer's body; no length was an error), intake.rs (nothing was looked at after a chunked body), http.rs (2.5 s for head and body). Ruled out: STOPPED (250 ms) as the cause; no gap came near it. A failed test found that the service is called after hyper has read on, so that a doubtful head marked the request before it: doubts are queued now.

--- a/src/api.rs
+++ b/src/api.rs
@@ -399,6 +399,8 @@
         elapsed: f64,
         /// Whether the request is over; if not, an answer is still owed.
         done: bool,
+        /// Whether it can't be sent again, since its data were not held.
+        last: bool,
         /// What the volume was served over all hosts in a finished period, in multiples of its base rate.
         used: Option<f64>,
         /// Units this shard served the volume through other hosts since it last told this one.
@@ -406,7 +408,7 @@
         /// The node's load report, if one came.
         report: Report,
     },
-    /// A streamed answer began: the client owns the attempt from here on.
+    /// A streamed answer began, or data that are not held pass on: no deadline runs from here on.
     Started {
         /// The request.
         request: RequestId,
--- a/src/bin/flaxgap-simhost/main.rs
+++ b/src/bin/flaxgap-simhost/main.rs
@@ -161,7 +161,17 @@
                 let (used, elsewhere) = (reader.u16()?, f64::from(reader.u16()?));
                 let report = report(names, &reader.stats()?);
                 let used = used.checked_sub(1).map(|percent| f64::from(percent) / 100.0);
-                Event::Outcome { request, attempt, outcome, elapsed, done, used, elsewhere, report }
+                Event::Outcome {
+                    request,
+                    attempt,
+                    outcome,
+                    elapsed,
+                    done,
+                    last: false,
+                    used,
+                    elsewhere,
+                    report,
+                }
             }
             60 => Event::ClientGone { request: RequestId(reader.u32()?) },
             70 => {
--- a/src/core.rs
+++ b/src/core.rs
@@ -6,12 +6,14 @@
 
 use crate::Scheduler;
 use crate::api::*;
+use crate::content::{Content, Payload, Upload};
 use crate::counters::{Counters, Final, Flight};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, mpsc};
@@ -99,7 +101,7 @@
     /// The key by which nodes know a repeat.
     pub repeat_key: Option<Bytes>,
     /// The data of a write.
-    pub payload: Bytes,
+    pub payload: Payload,
 }
 
 /// A request as a front hands it over.
@@ -133,7 +135,7 @@
     /// How it ended.
     pub outcome: Outcome,
     /// The body of a served request.
-    pub body: Bytes,
+    pub body: Content,
     /// The meter's figure, in multiples of the plan's rate.
     pub used: Option<f64>,
     /// The node's load report.
@@ -143,13 +145,14 @@
 impl Reply {
     /// An attempt that brought nothing back.
     pub fn empty(outcome: Outcome) -> Reply {
-        Reply { outcome, body: Bytes::new(), used: None, report: Report::default() }
+        Reply { outcome, body: Bytes::new().into(), used: None, report: Report::default() }
     }
 }
 
 /// Carries attempts to nodes.
 pub trait Transport {
-    /// One attempt. It ends by `until`, and dropping it calls it off: when the drop returns, nothing of
+    /// One attempt. It ends by `until`, or, once it has begun to pass data on that are not held, when these
+    /// say so. Dropping it calls it off: when the drop returns, nothing of
     /// it can reach the node any more. It never sends twice.
     fn send(&self, node: NodeId, envelope: &Envelope, until: Instant) -> impl Future<Output = Reply>;
 }
@@ -158,7 +161,7 @@
 #[derive(Debug)]
 pub enum Answer {
     /// Served: the node's body. Whoever passes it on settles the request.
-    Served(Bytes, Flight),
+    Served(Content, Flight),
     /// Turned away; trying again does no harm.
     Refused {
         /// Seconds after which a try makes sense; 0 where nothing is known.
@@ -345,8 +348,8 @@
         if let Some(observer) = &observer {
             observer.taken(&call);
         }
-        let overdue = call.deadline + OVERDUE;
-        let (last, mut sent) = (self.finish_by.get().map_or(overdue, |at| overdue.min(at)), false);
+        let mut overdue = call.deadline + OVERDUE;
+        let (mut last, mut sent) = (self.finish_by.get().map_or(overdue, |at| overdue.min(at)), false);
         let answer = loop {
             let choice = match timeout_at(last, ticket.mail.recv()).await {
                 Ok(Some(choice)) => choice,
@@ -363,21 +366,33 @@
                     sent = true;
                     let until = self.clock.instant(abandon_at).min(last);
                     // The mail comes first: an attempt called off before its first byte is never written.
-                    let ended = tokio::select! {
-                        biased;
-                        later = ticket.mail.recv() => Err(later),
-                        reply = transport.send(node, &call.envelope, until) => Ok(reply),
+                    let mut sending = pin!(transport.send(node, &call.envelope, until));
+                    let upload = call.envelope.payload.upload();
+                    let ended = loop {
+                        tokio::select! {
+                            biased;
+                            later = ticket.mail.recv() => break Err(later),
+                            reply = sending.as_mut() => break Ok(reply),
+                            // Data that pass on take their time; the module's clock for it stops.
+                            () = started(upload) => {
+                                self.tell(&[Event::Started { request: ticket.id }]);
+                            }
+                        }
                     };
+                    if upload.is_some_and(|upload| upload.spent()) {
+                        overdue = overdue.max(Instant::now() + OVERDUE);
+                        last = last.max(overdue);
+                    }
                     match ended {
                         Ok(reply) => {
                             let served = reply.outcome == Outcome::Ok;
-                            self.report(&ticket, attempt, &reply);
+                            self.report(&ticket, attempt, &reply, upload);
                             if served {
                                 break Answer::Served(reply.body, flight);
                             }
                         }
                         Err(later) => {
-                            self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled));
+                            self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled), upload);
                             match later {
                                 Some(Choice::Refuse { wait }) => break refused(wait, &flight),
                                 Some(Choice::Fail) => break failed(&flight),
@@ -428,7 +443,7 @@
     }
 
     /// Reports an attempt's end, unless the module was told of it before.
-    fn report(&self, ticket: &Ticket, attempt: usize, reply: &Reply) {
+    fn report(&self, ticket: &Ticket, attempt: usize, reply: &Reply, upload: Option<&Rc<Upload>>) {
         let out = {
             let mut state = self.state.borrow_mut();
             let mailbox = state.mailboxes.get_mut(&ticket.id);
@@ -436,12 +451,20 @@
         };
         let Some((_, sent_at)) = out else { return };
         self.counters.outcome(reply.outcome);
+        let last = upload.is_some_and(|upload| upload.spent());
+        // What the data took to come is not the node's time.
+        let from = match upload.and_then(|upload| upload.ended()) {
+            Some(ended) => self.clock.at(ended).max(sent_at),
+            None if last => self.clock.now(),
+            None => sent_at,
+        };
         self.tell(&[Event::Outcome {
             request: ticket.id,
             attempt,
             outcome: reply.outcome,
-            elapsed: self.clock.now() - sent_at,
+            elapsed: self.clock.now() - from,
             done: reply.outcome == Outcome::Ok,
+            last,
             used: reply.used,
             elsewhere: 0.0,
             report: reply.report,
@@ -449,6 +472,14 @@
     }
 }
 
+/// Waits until data that are not held begin to pass on.
+async fn started(upload: Option<&Rc<Upload>>) {
+    match upload {
+        Some(upload) => upload.started().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// A request in hand. Dropped without an answer, it tells the module that the client has gone; either
 /// way every attempt that the module takes to be out gets its outcome.
 struct Ticket {
@@ -466,7 +497,7 @@
         }
         let out = dispatcher.state.borrow().mailboxes.get(&self.id).and_then(|m| m.out);
         if let Some((attempt, _)) = out {
-            dispatcher.report(self, attempt, &Reply::empty(Outcome::Cancelled));
+            dispatcher.report(self, attempt, &Reply::empty(Outcome::Cancelled), None);
         }
         dispatcher.state.borrow_mut().mailboxes.remove(&self.id);
     }
--- a/src/front/block/session.rs
+++ b/src/front/block/session.rs
@@ -5,6 +5,7 @@
 use super::pdu::{BHS, Codec, NO_TAG, Pdu, PduError, request, response};
 use super::scsi::{self, Command, Sense, status};
 use super::{BlockFront, SessionHandle};
+use crate::content::Payload;
 use crate::core::{Answer, Call, Envelope, Transport, Verb, seconds};
 use crate::counters::Final;
 use bytes::{Bytes, BytesMut};
@@ -15,7 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// How long a login may take.
 const LOGIN: Duration = Duration::from_secs(10);
@@ -504,8 +505,13 @@
         );
         // Unique for each command, and the same for each of its attempts.
         let key = (verb == Verb::Write).then(|| format!("{}-{}-{command}-{task}", front.life, self.tsih));
-        let envelope =
-            Envelope { verb, target, id: front.fresh_id(), repeat_key: key.map(Bytes::from), payload };
+        let envelope = Envelope {
+            verb,
+            target,
+            id: front.fresh_id(),
+            repeat_key: key.map(Bytes::from),
+            payload: Payload::Whole(payload),
+        };
         let call = Call {
             class: *class,
             plan: lun.plan,
@@ -525,14 +531,19 @@
                     flight.settle(Final::Served);
                     Ended::Good { data: Bytes::new(), moved: place.length }
                 }
-                Answer::Served(data, flight) if data.len() == place.length => {
-                    flight.settle(Final::Served);
-                    Ended::Good { data, moved: place.length }
-                }
-                Answer::Served(body, flight) => {
-                    flight.settle(Final::Failed);
-                    log::warn!("block: {} bytes for a read of {}", body.len(), place.length);
-                    Ended::Check(scsi::READ_ERROR)
+                Answer::Served(content, flight) => {
+                    let whole = timeout_at(deadline, content.whole(place.length)).await.ok().flatten();
+                    match whole.filter(|data| data.len() == place.length) {
+                        Some(data) => {
+                            flight.settle(Final::Served);
+                            Ended::Good { data, moved: place.length }
+                        }
+                        None => {
+                            flight.settle(Final::Failed);
+                            log::warn!("block: not the {} bytes that were to be read", place.length);
+                            Ended::Check(scsi::READ_ERROR)
+                        }
+                    }
                 }
                 Answer::Refused { wait } => Ended::Refused { wait },
                 Answer::Failed => Ended::Check(scsi::NO_ANSWER),
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -2,15 +2,16 @@
 
 use crate::api::*;
 use crate::config::WireNotes;
+use crate::content::{Broken, Chain, Content, Payload, Pieces, Upload};
 use crate::core::{Answer, Call, Dispatcher, Envelope, Transport, Verb, seconds};
-use crate::counters::{Counters, Final};
+use crate::counters::{Counters, Final, Flight};
 use crate::daemon::{Phase, Phases};
 use crate::descriptors::{Budget, Slot};
 use crate::front::intake::{Intake, LONGEST_HEAD, MOST_FIELDS, Watch, quiet};
-use crate::memory::{BodyError, Memory};
+use crate::memory::{BodyError, LONGEST, Memory};
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
+use futures_core::Stream;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
@@ -20,12 +21,12 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Pause after the system would not give a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -33,6 +34,13 @@
 const LONGEST_ID: usize = 64;
 /// How long a new connection may wait with its first request once the program ends.
 const FIRST_REQUEST: Duration = Duration::from_millis(300);
+/// Longest body that is held until it is whole, so that its request can be sent again.
+const HELD: usize = 256 * 1024;
+/// How long a client may be waited for in all while its body comes: so long, and what the bytes that came take
+/// at the least pace, in bytes a second; and how long for each piece.
+const GRACE: Duration = Duration::from_millis(750);
+const PACE: f64 = 60e3;
+const STALL: Duration = Duration::from_secs(2);
 /// Longest time that a client may say it waits, in seconds.
 const LONGEST_WAIT: f64 = 3600.0;
 
@@ -75,9 +83,6 @@
     /// More of a body than any request has.
     #[error("a body past any sensible length")]
     TooLong,
-    /// There is no memory for its body now; it did not run.
-    #[error("no memory for the body now, come again")]
-    NoMemory,
     /// The body did not come in time.
     #[error("the body did not come whole in time")]
     Slow,
@@ -90,7 +95,6 @@
     fn status(&self) -> StatusCode {
         match self {
             BadRequest::Method(_) | BadRequest::ClassMethod(_) => StatusCode::METHOD_NOT_ALLOWED,
-            BadRequest::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             BadRequest::Slow => StatusCode::REQUEST_TIMEOUT,
             BadRequest::Duplicate => StatusCode::CONFLICT,
@@ -181,6 +185,151 @@
     }
 }
 
+/// A request's body. A client that stops is an error, a slow one is not; only the time counts that it is waited
+/// for.
+struct Paced {
+    body: Incoming,
+    received: u64,
+    waited: Duration,
+    since: Option<Instant>,
+    over: Pin<Box<Sleep>>,
+}
+
+impl Paced {
+    fn new(body: Incoming) -> Paced {
+        let over = Box::pin(sleep_until(Instant::now()));
+        Paced { body, received: 0, waited: Duration::ZERO, since: None, over }
+    }
+}
+
+impl Body for Paced {
+    type Data = Bytes;
+    type Error = BadRequest;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BadRequest>>> {
+        let this = &mut *self;
+        let Poll::Ready(frame) = Pin::new(&mut this.body).poll_frame(cx) else {
+            if this.since.is_none() {
+                let now = Instant::now();
+                let allowed = GRACE + Duration::from_secs_f64(this.received as f64 / PACE);
+                this.since = Some(now);
+                this.over.as_mut().reset(now + STALL.min(allowed.saturating_sub(this.waited)));
+            }
+            ready!(this.over.as_mut().poll(cx));
+            return Poll::Ready(Some(Err(BadRequest::Slow)));
+        };
+        this.waited += this.since.take().map_or(Duration::ZERO, |since| since.elapsed());
+        this.received += match &frame {
+            Some(Ok(frame)) => frame.data_ref().map_or(0, |data| data.len() as u64),
+            _ => 0,
+        };
+        Poll::Ready(frame.map(|frame| match frame {
+            Ok(_) if this.received > LONGEST => Err(BadRequest::TooLong),
+            frame => frame.map_err(|_| BadRequest::Length),
+        }))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Stream for Paced {
+    type Item = Result<Bytes, Broken>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            let Some(frame) = ready!(self.as_mut().poll_frame(cx)) else { return Poll::Ready(None) };
+            match frame.map(Frame::into_data) {
+                Ok(Ok(data)) => return Poll::Ready(Some(Ok(data))),
+                // Trailers say nothing that goes on.
+                Ok(Err(_)) => {}
+                Err(problem) => return Poll::Ready(Some(Err(Broken(problem.to_string())))),
+            }
+        }
+    }
+}
+
+/// An answer's body: held, or passed on as it comes. The request is settled at its end.
+pub struct Outgoing {
+    first: Option<Bytes>,
+    rest: Option<Pieces>,
+    left: Option<u64>,
+    flight: Option<Flight>,
+    ended: Option<Box<dyn FnOnce()>>,
+}
+
+impl Outgoing {
+    fn new(content: Content, flight: Option<Flight>) -> Outgoing {
+        let Content { first, rest, length } = content;
+        let body = Outgoing {
+            first: Some(first).filter(|f| !f.is_empty()),
+            rest,
+            left: length,
+            flight,
+            ended: None,
+        };
+        if body.rest.is_none() {
+            body.settle(Final::Served);
+        }
+        body
+    }
+
+    fn settle(&self, end: Final) {
+        self.flight.iter().for_each(|flight| flight.settle(end));
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        self.ended.take().into_iter().for_each(|ended| ended());
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let piece = match (self.first.take(), &mut self.rest) {
+            (Some(first), _) => Some(Ok(first)),
+            (None, Some(rest)) => ready!(rest.as_mut().poll_next(cx)),
+            (None, None) => None,
+        };
+        if let Some(Ok(data)) = &piece {
+            self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
+        }
+        match &piece {
+            Some(Ok(_)) if self.left != Some(0) => {}
+            // The client can tell by the length or the chunks, and by the connection's end.
+            Some(Err(problem)) => {
+                log::debug!("http: an answer: {problem}");
+                self.settle(Final::Failed);
+            }
+            Some(Ok(_)) | None => self.settle(Final::Served),
+        }
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
 /// One connection's service.
 struct Service<T> {
     front: Rc<HttpFront<T>>,
@@ -205,7 +354,7 @@
 }
 
 impl<T: Transport + 'static> tower::Service<Request<Incoming>> for Service<T> {
-    type Response = Response<Full<Bytes>>;
+    type Response = Response<Outgoing>;
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Infallible>>>>;
 
@@ -215,27 +364,25 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let service = self.clone();
-        let (whole_by, doubtful) = (self.watch.serving(), self.watch.doubtful());
+        let doubtful = self.watch.serving();
         Box::pin(async move {
             service.slot.busy();
-            let mut response = service.front.answer(request, whole_by, doubtful).await;
-            service.watch.answered();
-            if service.front.phases.leaving() {
+            let mut response = service.front.answer(request, doubtful).await;
+            // Not where another request is on its way already: it would be lost.
+            if service.front.phases.leaving() && !service.watch.more() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            service.rest();
+            response.body_mut().ended = Some(Box::new(move || {
+                service.watch.answered();
+                service.rest();
+            }));
             Ok(response)
         })
     }
 }
 
 impl<T: Transport + 'static> HttpFront<T> {
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-        whole_by: Instant,
-        doubtful: bool,
-    ) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, doubtful: bool) -> Response<Outgoing> {
         match request.uri().path() {
             "/-/ready" => {
                 let ready = self.phases.now() == Phase::Ready;
@@ -255,53 +402,62 @@
             Err(problem) => return self.turn_down(&problem),
         };
         let flight = self.counters.flight(fields.class);
-        let call = self.call(request, fields, whole_by).await;
+        let call = self.call(request, fields).await;
         // A second request with an id would be a second copy at the node.
         match call.and_then(|call| {
             let fresh = self.dispatcher.claim(&call.envelope.id);
             if fresh { Ok(call) } else { Err(BadRequest::Duplicate) }
         }) {
             Err(problem) => {
-                let status = problem.status();
-                let refused = status == StatusCode::SERVICE_UNAVAILABLE;
-                flight.settle(if refused { Final::Refused } else { Final::Failed });
+                flight.settle(Final::Failed);
                 self.turn_down(&problem)
             }
-            Ok(call) => word(self.dispatcher.serve(&*self.transport, call, flight).await),
+            Ok(call) => {
+                let upload = call.envelope.payload.upload().cloned();
+                let answer = self.dispatcher.serve(&*self.transport, call, flight).await;
+                // An answer may come before the data's end; a client that is still sending could not read it.
+                if let Some(upload) = upload.filter(|upload| upload.ended().is_none()) {
+                    tokio::task::spawn_local(upload.drain());
+                }
+                word(answer)
+            }
         }
     }
 
     /// Answers what can't be served.
-    fn turn_down(&self, problem: &BadRequest) -> Response<Full<Bytes>> {
+    fn turn_down(&self, problem: &BadRequest) -> Response<Outgoing> {
         self.counters.bad_input.add();
         log::debug!("http: {problem}");
         plain(problem.status(), format!("{problem}\n"))
     }
 
     /// The call that a request makes.
-    async fn call(
-        &self,
-        request: Request<Incoming>,
-        fields: Fields,
-        whole_by: Instant,
-    ) -> Result<Call, BadRequest> {
+    async fn call(&self, request: Request<Incoming>, fields: Fields) -> Result<Call, BadRequest> {
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
         let bytes = |name| head.headers.get(name).map(|v: &HeaderValue| Bytes::copy_from_slice(v.as_bytes()));
         let id = bytes("x-correlation-id").unwrap_or_default();
         let repeat_key = bytes("idempotency-key");
-        let payload = match timeout_at(whole_by, self.memory.collect(body)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyError::TooLong)) => return Err(BadRequest::TooLong),
-            Ok(Err(BodyError::Full)) => return Err(BadRequest::NoMemory),
-            Ok(Err(BodyError::Broken(_))) => return Err(BadRequest::Length),
-            Err(_) => return Err(BadRequest::Slow),
-        };
-        // A request's time counts from its last byte.
-        let deadline = Instant::now() + seconds(fields.left);
-        if fields.verb == Verb::Read && !payload.is_empty() {
+        let (length, mut body) = (body.size_hint().exact(), Paced::new(body));
+        let read = fields.verb == Verb::Read;
+        if read && length.is_some_and(|length| length > 0) {
+            return Err(BadRequest::Length);
+        }
+        let held = if length.is_none_or(|length| length <= HELD as u64) { HELD } else { 0 };
+        let gathered = self.memory.gather(&mut body, held, None).await.map_err(|problem| match problem {
+            BodyError::TooLong => BadRequest::TooLong,
+            BodyError::Broken(problem) => problem,
+        })?;
+        if read && !(gathered.whole && gathered.bytes.is_empty()) {
             return Err(BadRequest::Length);
         }
+        // A request's time counts from its last byte.
+        let wait = seconds(fields.left);
+        let deadline = Instant::now() + wait;
+        let payload = match gathered.whole {
+            true => Payload::Whole(gathered.bytes),
+            false => Payload::Passing(Upload::new(Chain::link(gathered.bytes, Box::pin(body)), length, wait)),
+        };
         Ok(Call {
             class: fields.class,
             plan: fields.plan,
@@ -390,20 +546,17 @@
     }
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(text.into()));
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing::new(text.into().into(), None));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
 /// Words the core's answer.
-fn word(answer: Answer) -> Response<Full<Bytes>> {
+fn word(answer: Answer) -> Response<Outgoing> {
     match answer {
-        Answer::Served(body, flight) => {
-            flight.settle(Final::Served);
-            Response::new(Full::new(body))
-        }
+        Answer::Served(content, flight) => Response::new(Outgoing::new(content, Some(flight))),
         Answer::Refused { wait } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, come again\n");
             if wait > 0.0 {
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -5,7 +5,8 @@
 //! parser, before hyper gets it, and what follows a doubtful one never gets there at all.
 
 use bytes::{Buf, BytesMut};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -22,10 +23,14 @@
 pub const MOST_FIELDS: usize = 64;
 /// Read at a time.
 const PIECE: usize = 4096;
-/// How long a new connection has for its first request, body and all.
+/// How long a new connection has for its first head, and a later head from its first byte: a slow client takes
+/// 2 s, and a bad one is to be rid of within 3 s.
 const FIRST: Duration = Duration::from_millis(2500);
-/// The same for a later one, from its first byte.
-const LATER: Duration = Duration::from_secs(2);
+const LATER: Duration = Duration::from_millis(2500);
+/// How long a client may leave what is sent to it unread.
+const UNREAD: Duration = Duration::from_secs(10);
+/// Longest line that tells a chunk's size, with its extensions.
+const LONGEST_SIZE: usize = 4096;
 /// How long a connection is kept without a request.
 const IDLE: Duration = Duration::from_millis(2100);
 
@@ -36,22 +41,28 @@
     moved: Notify,
     coming: Cell<bool>,
     serving: Cell<bool>,
-    doubtful: Cell<bool>,
+    /// Of the heads handed on that are not served yet: whether each leaves room for doubt where its request
+    /// ends. The service is called some time after its head was read, when the next may have been.
+    doubts: RefCell<VecDeque<bool>>,
+    /// Since when the client has left what is sent to it unread.
+    unread: Cell<Option<Instant>>,
 }
 
 impl Default for Watch {
     /// Of a new connection.
     fn default() -> Watch {
         let due = Instant::now() + FIRST;
-        let (coming, serving, doubtful) = (Cell::new(true), Cell::new(false), Cell::new(false));
-        Watch { due: Cell::new(due), moved: Notify::new(), coming, serving, doubtful }
+        let (coming, serving, doubts) = (Cell::new(true), Cell::new(false), RefCell::default());
+        let unread = Cell::new(None);
+        Watch { due: Cell::new(due), moved: Notify::new(), coming, serving, doubts, unread }
     }
 }
 
 impl Watch {
-    /// When the connection is to end; never while a request is served.
+    /// When the connection is to end; while a request is served, only for a client that does not read.
     pub fn due(&self) -> Option<Instant> {
-        Some(self.due.get()).filter(|_| !self.serving.get())
+        let unread = self.unread.get().map(|since| since + UNREAD);
+        unread.or(Some(self.due.get()).filter(|_| !self.serving.get()))
     }
 
     /// Waits until that may have changed.
@@ -59,12 +70,35 @@
         self.moved.notified().await;
     }
 
-    /// A request's head has come; its body must have come by the moment given back.
-    pub fn serving(&self) -> Instant {
+    /// The next request is served; whether its head leaves room for doubt where it ends.
+    pub fn serving(&self) -> bool {
+        let mut doubts = self.doubts.borrow_mut();
+        let doubtful = doubts.pop_front().unwrap_or(true);
         self.serving.set(true);
-        self.coming.set(false);
+        self.coming.set(!doubts.is_empty());
         self.moved.notify_one();
-        self.due.get()
+        doubtful
+    }
+
+    /// Whether a further request has begun to come.
+    pub fn more(&self) -> bool {
+        self.coming.get()
+    }
+
+    /// Bytes of a body have come; after an early answer, the connection is kept for the rest.
+    fn body(&self) {
+        if !self.serving.get() && !self.coming.get() {
+            self.due.set(Instant::now() + IDLE);
+            self.moved.notify_one();
+        }
+    }
+
+    /// Whether the client has room for what is sent to it.
+    fn room(&self, room: bool) {
+        let unread = (!room).then(|| self.unread.get().unwrap_or_else(Instant::now));
+        if self.unread.replace(unread) != unread {
+            self.moved.notify_one();
+        }
     }
 
     /// The request is answered; the connection is kept for another.
@@ -74,11 +108,6 @@
         self.moved.notify_one();
     }
 
-    /// Whether the newest head leaves room for doubt where its request ends.
-    pub fn doubtful(&self) -> bool {
-        self.doubtful.get()
-    }
-
     /// Bytes of a head have come: the rest is due, too.
     fn coming(&self) {
         if !self.coming.replace(true) {
@@ -93,8 +122,10 @@
 enum Next {
     Head,
     Body(u64),
-    /// A body whose end hyper finds. Its request is the connection's last.
-    Rest,
+    /// Of a chunked body: the line with a chunk's size, a chunk's data, and what follows the last.
+    Size,
+    Chunk(u64),
+    Trailer,
     /// Nothing that may be read.
     Nothing,
 }
@@ -122,6 +153,28 @@
         Intake { stream, watch, held: BytesMut::new(), passed: 0, next: Next::Head }
     }
 
+    /// Hands on what is held of a body of which so much is left; what is left then.
+    fn pass(&mut self, left: u64) -> u64 {
+        self.watch.body();
+        self.passed = self.held.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+        left - self.passed as u64
+    }
+
+    /// Hands on a line of a body's framing once it is whole. One that can't be read is hyper's to answer, and
+    /// nothing comes after it.
+    fn line(
+        &mut self,
+        line: Result<httparse::Status<(usize, u64)>, ()>,
+        most: usize,
+        next: impl Fn(u64) -> Next,
+    ) {
+        match line {
+            Ok(httparse::Status::Complete((end, value))) => (self.passed, self.next) = (end, next(value)),
+            Ok(httparse::Status::Partial) if self.held.len() < most => {}
+            _ => (self.passed, self.next) = (self.held.len(), Next::Nothing),
+        }
+    }
+
     /// Looks for the end of the head that is held, and for what comes after it.
     fn examine(&mut self) {
         let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
@@ -144,10 +197,10 @@
         self.next = match (lengths, codings, values("content-length").next().and_then(length)) {
             (0, 0, _) | (1, 0, Some(0)) => Next::Head,
             (1, 0, Some(length)) => Next::Body(length),
-            (0, 1, _) if coding.is_some_and(|c| c.eq_ignore_ascii_case(b"chunked")) => Next::Rest,
+            (0, 1, _) if coding.is_some_and(|c| c.eq_ignore_ascii_case(b"chunked")) => Next::Size,
             _ => Next::Nothing,
         };
-        self.watch.doubtful.set(matches!(self.next, Next::Nothing));
+        self.watch.doubts.borrow_mut().push_back(matches!(self.next, Next::Nothing));
         self.passed = end;
     }
 }
@@ -166,12 +219,34 @@
                         this.watch.coming();
                         this.examine();
                     }
-                    Next::Body(left) => {
-                        this.passed = this.held.len().min(usize::try_from(left).unwrap_or(usize::MAX));
-                        let left = left - this.passed as u64;
-                        this.next = if left > 0 { Next::Body(left) } else { Next::Head };
+                    Next::Body(left) => match this.pass(left) {
+                        0 => this.next = Next::Head,
+                        left => this.next = Next::Body(left),
+                    },
+                    Next::Chunk(left) => match this.pass(left) {
+                        0 => this.next = Next::Size,
+                        left => this.next = Next::Chunk(left),
+                    },
+                    Next::Size => {
+                        let size = httparse::parse_chunk_size(&this.held);
+                        this.line(size.map_err(|_| ()), LONGEST_SIZE, |size| match size {
+                            0 => Next::Trailer,
+                            // The data are followed by a line's end.
+                            size => Next::Chunk(size.saturating_add(2)),
+                        });
+                    }
+                    Next::Trailer => {
+                        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+                        let end = httparse::parse_headers(&this.held, &mut fields);
+                        let end = match end {
+                            Ok(httparse::Status::Complete((end, _))) => {
+                                Ok(httparse::Status::Complete((end, 0)))
+                            }
+                            Ok(httparse::Status::Partial) => Ok(httparse::Status::Partial),
+                            Err(_) => Err(()),
+                        };
+                        this.line(end, LONGEST_HEAD, |_| Next::Head);
                     }
-                    Next::Rest => this.passed = this.held.len(),
                     Next::Nothing => this.held.clear(),
                 }
             }
@@ -205,7 +280,9 @@
         send: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
+            let ready = self.stream.poll_write_ready(cx);
+            self.watch.room(ready.is_ready());
+            ready!(ready)?;
             match send(&self.stream) {
                 Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => {}
                 sent => return Poll::Ready(sent),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,6 +61,9 @@
 /// Ticks of the caller's clock before a client's deadline at which a held request is answered.
 const ANSWER_TICKS: f64 = 2.0;
 
+/// How an attempt ended, after how long, whether its request is over, and whether it can't be sent again.
+type End = (Outcome, f64, bool, bool);
+
 /// One send of a request.
 struct Attempt {
     shard: ShardId,
@@ -327,13 +330,12 @@
         match event {
             Event::Nodes { kind, nodes } => self.follow_list(*kind, nodes),
             Event::Request(ask) => self.take(ask, actions),
-            Event::Outcome { request, attempt, outcome, elapsed, done, .. } => {
-                self.outcome(*request, *attempt, (*outcome, *elapsed, *done), actions);
+            Event::Outcome { request, attempt, outcome, elapsed, done, last, .. } => {
+                self.outcome(*request, *attempt, (*outcome, *elapsed, *done, *last), actions);
             }
             Event::Started { request } => {
-                if let Some(held) = self.held.get_mut(request) {
-                    self.expiry.remove(&(held.deadline.to_bits(), *request));
-                }
+                self.expiry.retain(|(_, id)| id != request);
+                self.lanes.values_mut().for_each(|lane| lane.out.retain(|o| o.id != *request));
             }
             Event::ClientGone { request } => {
                 self.cancel(*request, actions);
@@ -589,8 +591,8 @@
         }
     }
 
-    fn outcome(&mut self, id: RequestId, nth: usize, end: (Outcome, f64, bool), actions: &mut Vec<Action>) {
-        let ((outcome, elapsed, done), now) = (end, self.now);
+    fn outcome(&mut self, id: RequestId, nth: usize, end: End, actions: &mut Vec<Action>) {
+        let ((outcome, elapsed, done, last), now) = (end, self.now);
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(attempt) = held.attempts.get_mut(nth).filter(|a| a.outcome.is_none()) else { return };
         attempt.outcome = Some(outcome);
@@ -623,7 +625,7 @@
             }
         }
         if !done && outcome != Outcome::Ok && !self.held[&id].over {
-            return self.try_again(id, actions);
+            return if last { self.answer(id, actions) } else { self.try_again(id, actions) };
         }
         self.note_delay(id, now - arrived);
         self.end(id);
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,19 +4,20 @@
 //! closes the socket there and then. Nothing here sends a request twice.
 
 use crate::api::*;
+use crate::content::{Broken, Content, Payload, Taken};
 use crate::core::{Envelope, Reply, Transport, Verb, seconds};
 use crate::counters::Counters;
 use crate::descriptors::{Budget, Side, Slot};
-use crate::memory::{self, Memory};
+use crate::memory::{self, Gathered, Memory};
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
+use futures_core::Stream;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
@@ -24,11 +25,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
 
 /// Part of the nodes' idle time after which a pooled connection is closed, and at most how many seconds: one
 /// that the node is about to close would turn the next request into a reset, and nodes were seen to close
@@ -37,9 +38,17 @@
 const IDLE_MOST: f64 = 1.5;
 /// Longest head, and all that an answer may come to with interim ones before it.
 const LONGEST_HEAD: usize = 16 * 1024;
-const LONGEST_ANSWER: usize = memory::LONGEST + 4 * LONGEST_HEAD;
-/// A node that stops for so long midway in an answer has nothing more to say.
+const LONGEST_ANSWER: usize = memory::LONGEST as usize + (1 << 20);
+/// Longest answer that is held until it is whole: a break in it can still be acted on. Of a longer one so much
+/// is held before the first byte goes on, and of one that does not say its length too, for so long at least.
+const HELD: usize = 64 * 1024;
+const FIRST: usize = 8 * 1024;
+const FIRST_WAIT: Duration = Duration::from_millis(150);
+/// A node that stops for so long midway in an answer has nothing more to say, but for what the last piece may
+/// have taken at the least pace, in bytes a second. Once the answer passes on, there is no other to be had.
 const STOPPED: Duration = Duration::from_millis(250);
+const PACE: f64 = 64e3;
+const STALLED: Duration = Duration::from_secs(5);
 /// How long a connection rests after an answer, so that what comes after it and belongs to no request is
 /// seen before the next is written.
 const REST: Duration = Duration::from_millis(20);
@@ -60,7 +69,7 @@
     body_taken: Cell<bool>,
     wrote: Cell<bool>,
     whole: Cell<bool>,
-    /// When the answer's last bytes so far came, and how many have come.
+    /// When the answer's last bytes so far came, and by when more must; how many have come.
     heard: Cell<Option<Instant>>,
     read: Cell<usize>,
     /// An interim answer came; the one that counts is still to come.
@@ -85,35 +94,44 @@
         if self.interim.swap(false, Ordering::Relaxed) {
             self.heard.set(None);
         }
-        self.heard.get().map_or(until, |at| until.min(at + STOPPED))
+        self.heard.get().map_or(until, |due| until.min(due))
     }
 }
 
 /// The request's body: tells when its last bytes have been handed to the connection.
-struct Payload {
+struct Outgoing {
     bytes: Option<Bytes>,
+    passing: Option<Taken>,
+    length: Option<u64>,
     progress: Rc<Progress>,
 }
 
-impl Body for Payload {
+impl Body for Outgoing {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Broken;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if let Some(pieces) = &mut self.passing {
+            let piece = ready!(Pin::new(pieces).poll_next(cx));
+            if piece.is_none() {
+                self.progress.body_taken.set(true);
+            }
+            return Poll::Ready(piece.map(|piece| piece.map(Frame::data)));
+        }
         let bytes = self.bytes.take();
         self.progress.body_taken.set(true);
         Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.bytes.is_none()
+        self.bytes.is_none() && self.passing.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |b| b.len() as u64))
+        self.length.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
@@ -135,7 +153,8 @@
             return read;
         }
         progress.read.set(progress.read.get() + some);
-        progress.heard.set(Some(Instant::now()));
+        let pace = Duration::from_secs_f64(some as f64 / PACE);
+        progress.heard.set(Some(Instant::now() + STOPPED + pace));
         if progress.read.get() > LONGEST_ANSWER {
             return Poll::Ready(Err(io::Error::other("an answer past any sensible length")));
         }
@@ -187,8 +206,8 @@
 
 /// One connection to a node.
 struct Link {
-    sender: SendRequest<Payload>,
-    connection: Connection<TokioIo<Watched>, Payload>,
+    sender: SendRequest<Outgoing>,
+    connection: Connection<TokioIo<Watched>, Outgoing>,
     stream: Rc<RefCell<TcpStream>>,
     progress: Rc<Progress>,
     slot: Slot,
@@ -198,9 +217,9 @@
 
 impl Link {
     /// Drives the connection while `work` uses it; `None` once its time is over.
-    async fn drive<O>(&mut self, work: impl Future<Output = O>, until: Instant) -> Option<O> {
-        let (mut work, mut over) = (pin!(work), pin!(sleep_until(until)));
-        let mut due = until;
+    async fn drive<O>(&mut self, work: impl Future<Output = O>, until: impl Fn() -> Instant) -> Option<O> {
+        let mut due = until();
+        let (mut work, mut over) = (pin!(work), pin!(sleep_until(due)));
         poll_fn(|cx| {
             for _ in 0..2 {
                 self.poll_connection(cx);
@@ -208,7 +227,7 @@
                     return Poll::Ready(Some(output));
                 }
             }
-            let now_due = self.progress.due(until);
+            let now_due = self.progress.due(until());
             if now_due != due {
                 due = now_due;
                 over.as_mut().reset(due);
@@ -250,6 +269,58 @@
     next: u64,
 }
 
+impl Pools {
+    fn ready(&self, node: NodeId) -> Option<SocketAddr> {
+        self.places.get(&node).filter(|p| p.state == NodeState::Ready).map(|p| p.address)
+    }
+}
+
+/// The rest of an answer that passes on, with the connection that it comes over.
+struct Passing {
+    link: Option<Link>,
+    body: Incoming,
+    node: NodeId,
+    pools: Rc<RefCell<Pools>>,
+    over: Pin<Box<Sleep>>,
+}
+
+impl Stream for Passing {
+    type Item = Result<Bytes, Broken>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = &mut *self;
+        for _ in 0..2 {
+            let Some(link) = &mut this.link else { return Poll::Ready(None) };
+            link.poll_connection(cx);
+            while let Poll::Ready(frame) = Pin::new(&mut this.body).poll_frame(cx) {
+                this.over.as_mut().reset(Instant::now() + STALLED);
+                match frame.map(|frame| frame.map(Frame::into_data)) {
+                    Some(Ok(Ok(data))) => {
+                        // The other side need not ask for more than the length that it was told.
+                        if this.body.is_end_stream() {
+                            this.link.take().into_iter().for_each(|l| Nodes::keep(&this.pools, this.node, l));
+                        }
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                    // Trailers say nothing that goes on.
+                    Some(Ok(Err(_))) => {}
+                    Some(Err(problem)) => {
+                        this.link = None;
+                        return Poll::Ready(Some(Err(Broken(problem.to_string()))));
+                    }
+                    None => {
+                        this.link.take().into_iter().for_each(|l| Nodes::keep(&this.pools, this.node, l));
+                        return Poll::Ready(None);
+                    }
+                }
+            }
+        }
+        ready!(this.over.as_mut().poll(cx));
+        this.link = None;
+        Poll::Ready(Some(Err(Broken("the node stopped".into()))))
+    }
+}
+
 /// The nodes, as places and as pools of connections.
 pub struct Nodes {
     pools: Rc<RefCell<Pools>>,
@@ -298,8 +369,7 @@
 
     /// Where a node is, if it takes work now.
     fn ready(&self, node: NodeId) -> Option<SocketAddr> {
-        let pools = self.pools.borrow();
-        pools.places.get(&node).filter(|p| p.state == NodeState::Ready).map(|p| p.address)
+        self.pools.borrow().ready(node)
     }
 
     /// Closes connections that have been idle for long; runs as long as the program.
@@ -331,15 +401,17 @@
         }
     }
 
-    fn keep(&self, node: NodeId, mut link: Link) {
-        if link.ended || link.sender.is_closed() || self.ready(node).is_none() {
+    fn keep(shared: &Rc<RefCell<Pools>>, node: NodeId, mut link: Link) {
+        let mut pools = shared.borrow_mut();
+        if link.ended || link.sender.is_closed() || pools.ready(node).is_none() {
+            // Its end gives descriptors back, which may close other connections of these pools.
+            drop(pools);
             return;
         }
         link.idle_since = Instant::now();
-        let mut pools = self.pools.borrow_mut();
         let number = pools.next;
         pools.next += 1;
-        let weak = Rc::downgrade(&self.pools);
+        let weak = Rc::downgrade(shared);
         link.slot.idle(move || {
             let Some(pools) = weak.upgrade() else { return };
             let link = pools.borrow_mut().idle.get_mut(&node).and_then(|idle| {
@@ -391,30 +463,31 @@
         if self.ready(node) != Some(address) {
             return Reply::empty(Outcome::Moot);
         }
-        link.progress.restart(envelope.payload.is_empty());
+        let upload = envelope.payload.upload().cloned();
+        let empty = matches!(&envelope.payload, Payload::Whole(bytes) if bytes.is_empty());
+        link.progress.restart(empty);
         let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
         let Some(request) = request(envelope, address, left, &link.progress) else {
             return Reply::empty(Outcome::Moot);
         };
         let answer = link.sender.send_request(request);
         let work = async {
-            let (head, body) = answer.await?.into_parts();
+            let (head, mut body) = answer.await?.into_parts();
             let has = |name| head.headers.contains_key(name);
             let (length, coding) = (has(CONTENT_LENGTH), has(TRANSFER_ENCODING));
-            let served = head.status == StatusCode::OK;
             if length && coding {
                 return Err("an answer whose length is in doubt".into());
             }
-            // Its end would be the connection's, which a break would look like.
-            match length || coding {
-                false if served => return Err("an answer without a length".into()),
-                false => return Ok((head, Bytes::new())),
-                true => {}
-            }
-            let body = self.memory.collect(body).await?;
-            Ok::<_, Box<dyn std::error::Error + Send + Sync>>((head, body))
+            // One that says no length ends with its connection; a reset is no end.
+            let (held, wait) = match body.size_hint().exact() {
+                Some(length) if length > HELD as u64 => (FIRST, None),
+                Some(_) => (HELD, None),
+                None => (HELD, Some((Instant::now() + FIRST_WAIT, FIRST))),
+            };
+            let gathered = self.memory.gather(&mut body, held, wait).await?;
+            Ok::<_, Box<dyn std::error::Error + Send + Sync>>((head, body, gathered))
         };
-        let ended = link.drive(work, until).await;
+        let ended = link.drive(work, || upload.as_ref().map_or(until, |upload| upload.until())).await;
         let progress = &link.progress;
         match ended {
             // Never whole at the node, so it never began.
@@ -430,7 +503,7 @@
                 log::debug!("node: {address}: spoilt answer");
                 Reply::empty(Outcome::Error)
             }
-            Some(Ok((head, body))) => {
+            Some(Ok((head, rest, Gathered { bytes, whole }))) => {
                 let outcome = match head.status {
                     StatusCode::OK => Outcome::Ok,
                     StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
@@ -441,7 +514,14 @@
                     _ => Outcome::Error,
                 };
                 let (used, report) = notes(&head.headers);
-                self.keep(node, link);
+                let mut body = Content::from(bytes);
+                if whole {
+                    Nodes::keep(&self.pools, node, link);
+                } else if outcome == Outcome::Ok {
+                    body.length = rest.size_hint().exact().map(|rest| rest + body.first.len() as u64);
+                    let (pools, over) = (self.pools.clone(), Box::pin(sleep_until(Instant::now() + STALLED)));
+                    body.rest = Some(Box::pin(Passing { link: Some(link), body: rest, node, pools, over }));
+                }
                 Reply { outcome, body, used, report }
             }
         }
@@ -460,7 +540,7 @@
     address: SocketAddr,
     left: f64,
     progress: &Rc<Progress>,
-) -> Option<hyper::Request<Payload>> {
+) -> Option<hyper::Request<Outgoing>> {
     let method = match envelope.verb {
         Verb::Read => Method::GET,
         Verb::Write => Method::PUT,
@@ -474,11 +554,19 @@
     if let Some(key) = &envelope.repeat_key {
         request = request.header("idempotency-key", HeaderValue::from_maybe_shared(key.clone()).ok()?);
     }
-    if method == Method::PUT && envelope.payload.is_empty() {
+    let (bytes, passing) = match &envelope.payload {
+        Payload::Whole(bytes) => (Some(bytes.clone()).filter(|b| !b.is_empty()), None),
+        // None once they were taken: they can't be sent again.
+        Payload::Passing(upload) => (None, Some(upload.take()?)),
+    };
+    if method == Method::PUT && bytes.is_none() && passing.is_none() {
         request = request.header(CONTENT_LENGTH, 0);
     }
-    let bytes = Some(envelope.payload.clone()).filter(|b| !b.is_empty());
-    let mut request = request.body(Payload { bytes, progress: progress.clone() }).ok()?;
+    let length = match &envelope.payload {
+        Payload::Whole(bytes) => Some(bytes.len() as u64),
+        Payload::Passing(upload) => upload.length,
+    };
+    let mut request = request.body(Outgoing { bytes, passing, length, progress: progress.clone() }).ok()?;
     let interim = progress.interim.clone();
     hyper::ext::on_informational(&mut request, move |_| interim.store(true, Ordering::Relaxed));
     Some(request)
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -113,7 +113,7 @@
     map.insert("volume".into(), format!("{:016x}", call.volume.0).into());
     map.insert("units".into(), call.units.into());
     map.insert("write".into(), (call.envelope.verb == Verb::Write).into());
-    map.insert("bytes".into(), Dynamic::from(call.envelope.payload.len() as i64));
+    map.insert("bytes".into(), Dynamic::from(call.envelope.payload.length() as i64));
     map
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -105,6 +105,7 @@
             outcome,
             elapsed,
             done: outcome == Outcome::Ok,
+            last: false,
             used: None,
             elsewhere: 0.0,
             report: Report::default(),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -19,6 +19,7 @@
                 outcome: Outcome::ConnectFailed,
                 elapsed: 0.0,
                 done: false,
+                last: false,
                 used: None,
                 elsewhere: 0.0,
                 report: Report::default(),
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -47,6 +47,10 @@
                 }
             }
         }
+        if message.header("transfer-encoding") == "chunked" {
+            message.body = chunks(from)?;
+            return Some(message);
+        }
         let length = message.headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
         message.body = vec![0; length];
         from.read_exact(&mut message.body).ok()?;
@@ -54,6 +58,26 @@
     }
 }
 
+/// A chunked body; extensions and trailers are left out.
+fn chunks(from: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let size = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        if size == 0 {
+            while line != "\r\n" {
+                line.clear();
+                from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            }
+            return Some(body);
+        }
+        from.read_exact(&mut chunk).ok()?;
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
 /// What a brick does with a request.
 pub enum Step {
     Serve(Vec<u8>),
@@ -65,6 +89,8 @@
     BreakMidway,
     /// These bytes as they are; the connection stays open.
     Raw(Vec<u8>),
+    /// These, then the others once the script's owner says so; the connection closes then.
+    Held(Vec<u8>, Arc<std::sync::Barrier>, Vec<u8>),
     /// Never answers, and says so when the connection is closed from the other side.
     Silent,
     /// Does the rest once the time is over.
@@ -117,6 +143,12 @@
                     format!("HTTP/1.1 {status} No\r\n{note}Content-Length: 0\r\n\r\n").into_bytes()
                 }
                 Step::Raw(bytes) => bytes,
+                Step::Held(first, go, rest) => {
+                    let _ = out.write_all(&first);
+                    go.wait();
+                    let _ = out.write_all(&rest);
+                    break;
+                }
                 Step::Break => break,
                 Step::BreakMidway => {
                     let _ = out.write_all(&[head(10).as_bytes(), b"half"].concat());
@@ -431,6 +463,21 @@
         Message::read(&mut self.from)
     }
 
+    /// So many bytes as they come.
+    pub fn bytes(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.from.read_exact(&mut bytes).expect("bytes");
+        bytes
+    }
+
+    /// All that comes for a while, or until the connection ends.
+    pub fn rest(&mut self) -> Vec<u8> {
+        let mut all = Vec::new();
+        self.stream.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+        let _ = self.from.read_to_end(&mut all);
+        all
+    }
+
     pub fn ask(&mut self, head: &str, body: &[u8]) -> Message {
         self.send(head, body);
         self.answer().expect("an answer")
