Let a slow request take 2.7 s from its first byte, and its body the least pace beyond that

Checked: a line at each error of a body; all were given up at 0.75 s with 0 to 7 KB of bodies of 600 B to 34 KB, the pauses between their pieces under 0.3 s. Line at fault: http.rs GRACE, counted from the head's end. Ruled out: the least pace and the time for a head.

--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -36,11 +36,9 @@
 const FIRST_REQUEST: Duration = Duration::from_millis(300);
 /// Longest body that is held until it is whole, so that its request can be sent again.
 const HELD: usize = 256 * 1024;
-/// How long a client may be waited for in all while its body comes: so long, and what the bytes that came take
-/// at the least pace, in bytes a second; and how long for each piece.
-const GRACE: Duration = Duration::from_millis(750);
+/// The least pace of a body, in bytes a second, and how long a client is waited for with each piece.
 const PACE: f64 = 60e3;
-const STALL: Duration = Duration::from_secs(2);
+const STALL: Duration = Duration::from_millis(2700);
 /// Longest time that a client may say it waits, in seconds.
 const LONGEST_WAIT: f64 = 3600.0;
 
@@ -189,6 +187,7 @@
 /// for.
 struct Paced {
     body: Incoming,
+    grace: Duration,
     received: u64,
     waited: Duration,
     since: Option<Instant>,
@@ -196,9 +195,9 @@
 }
 
 impl Paced {
-    fn new(body: Incoming) -> Paced {
+    fn new(body: Incoming, grace: Duration) -> Paced {
         let over = Box::pin(sleep_until(Instant::now()));
-        Paced { body, received: 0, waited: Duration::ZERO, since: None, over }
+        Paced { body, grace, received: 0, waited: Duration::ZERO, since: None, over }
     }
 }
 
@@ -214,7 +213,7 @@
         let Poll::Ready(frame) = Pin::new(&mut this.body).poll_frame(cx) else {
             if this.since.is_none() {
                 let now = Instant::now();
-                let allowed = GRACE + Duration::from_secs_f64(this.received as f64 / PACE);
+                let allowed = this.grace + Duration::from_secs_f64(this.received as f64 / PACE);
                 this.since = Some(now);
                 this.over.as_mut().reset(now + STALL.min(allowed.saturating_sub(this.waited)));
             }
@@ -364,10 +363,11 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let service = self.clone();
+        let grace = self.watch.grace();
         let doubtful = self.watch.serving();
         Box::pin(async move {
             service.slot.busy();
-            let mut response = service.front.answer(request, doubtful).await;
+            let mut response = service.front.answer(request, grace, doubtful).await;
             // Not where another request is on its way already: it would be lost.
             if service.front.phases.leaving() && !service.watch.more() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -382,7 +382,12 @@
 }
 
 impl<T: Transport + 'static> HttpFront<T> {
-    async fn answer(&self, request: Request<Incoming>, doubtful: bool) -> Response<Outgoing> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        grace: Duration,
+        doubtful: bool,
+    ) -> Response<Outgoing> {
         match request.uri().path() {
             "/-/ready" => {
                 let ready = self.phases.now() == Phase::Ready;
@@ -402,7 +407,7 @@
             Err(problem) => return self.turn_down(&problem),
         };
         let flight = self.counters.flight(fields.class);
-        let call = self.call(request, fields).await;
+        let call = self.call(request, fields, grace).await;
         // A second request with an id would be a second copy at the node.
         match call.and_then(|call| {
             let fresh = self.dispatcher.claim(&call.envelope.id);
@@ -432,13 +437,18 @@
     }
 
     /// The call that a request makes.
-    async fn call(&self, request: Request<Incoming>, fields: Fields) -> Result<Call, BadRequest> {
+    async fn call(
+        &self,
+        request: Request<Incoming>,
+        fields: Fields,
+        grace: Duration,
+    ) -> Result<Call, BadRequest> {
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
         let bytes = |name| head.headers.get(name).map(|v: &HeaderValue| Bytes::copy_from_slice(v.as_bytes()));
         let id = bytes("x-correlation-id").unwrap_or_default();
         let repeat_key = bytes("idempotency-key");
-        let (length, mut body) = (body.size_hint().exact(), Paced::new(body));
+        let (length, mut body) = (body.size_hint().exact(), Paced::new(body, grace));
         let read = fields.verb == Verb::Read;
         if read && length.is_some_and(|length| length > 0) {
             return Err(BadRequest::Length);
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -25,8 +25,11 @@
 const PIECE: usize = 4096;
 /// How long a new connection has for its first head, and a later head from its first byte: a slow client takes
 /// 2 s, and a bad one is to be rid of within 3 s.
-const FIRST: Duration = Duration::from_millis(2500);
-const LATER: Duration = Duration::from_millis(2500);
+const HEAD: Duration = Duration::from_millis(2500);
+/// How long a client that sends slowly may be waited for in all, beyond what its bytes take at the least pace:
+/// from the beginning of its head, and from its end. Who sends at full speed and stops is to be rid of within 3 s.
+const SLOW: Duration = Duration::from_millis(2700);
+const SLOW_BODY: Duration = Duration::from_millis(1500);
 /// How long a client may leave what is sent to it unread.
 const UNREAD: Duration = Duration::from_secs(10);
 /// Longest line that tells a chunk's size, with its extensions.
@@ -38,6 +41,8 @@
 /// something happens before, and what the newest head was like.
 pub struct Watch {
     due: Cell<Instant>,
+    /// When the newest request began to come.
+    begun: Cell<Instant>,
     moved: Notify,
     coming: Cell<bool>,
     serving: Cell<bool>,
@@ -51,10 +56,10 @@
 impl Default for Watch {
     /// Of a new connection.
     fn default() -> Watch {
-        let due = Instant::now() + FIRST;
+        let (due, begun) = (Cell::new(Instant::now() + HEAD), Cell::new(Instant::now()));
         let (coming, serving, doubts) = (Cell::new(true), Cell::new(false), RefCell::default());
         let unread = Cell::new(None);
-        Watch { due: Cell::new(due), moved: Notify::new(), coming, serving, doubts, unread }
+        Watch { due, begun, moved: Notify::new(), coming, serving, doubts, unread }
     }
 }
 
@@ -70,6 +75,11 @@
         self.moved.notified().await;
     }
 
+    /// How long a request whose head has just come may be waited for beyond its body's pace.
+    pub fn grace(&self) -> Duration {
+        SLOW.saturating_sub(self.begun.get().elapsed()).max(SLOW_BODY)
+    }
+
     /// The next request is served; whether its head leaves room for doubt where it ends.
     pub fn serving(&self) -> bool {
         let mut doubts = self.doubts.borrow_mut();
@@ -104,14 +114,15 @@
     /// The request is answered; the connection is kept for another.
     pub fn answered(&self) {
         self.serving.set(false);
-        self.due.set(Instant::now() + if self.coming.get() { LATER } else { IDLE });
+        self.due.set(Instant::now() + if self.coming.get() { HEAD } else { IDLE });
         self.moved.notify_one();
     }
 
     /// Bytes of a head have come: the rest is due, too.
     fn coming(&self) {
         if !self.coming.replace(true) {
-            self.due.set(Instant::now() + LATER);
+            self.begun.set(Instant::now());
+            self.due.set(Instant::now() + HEAD);
             self.moved.notify_one();
         }
     }
