--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -14,6 +14,11 @@
 /// gains nothing by being let in.
 const FOR_NODES: usize = 5;
 
+/// One part in so many of the descriptors may be held by clients' connections that rest between two requests.
+/// Clients together hold twice as many at most; those with a connection of their own for each request would
+/// find none left.
+const RESTING_PART: usize = 6;
+
 /// Which side a connection is to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -39,7 +44,8 @@
     closing: Cell<usize>,
     freed: Notify,
     turn: Cell<u64>,
-    idle: RefCell<BTreeMap<u64, Close>>,
+    idle: RefCell<BTreeMap<u64, (Side, Close)>>,
+    resting: Cell<usize>,
     silent: RefCell<BTreeMap<u64, (Instant, Close)>>,
     counters: Rc<Counters>,
 }
@@ -55,6 +61,7 @@
             freed: Notify::new(),
             turn: Cell::new(0),
             idle: RefCell::default(),
+            resting: Cell::new(0),
             silent: RefCell::default(),
             counters,
         };
@@ -91,7 +98,7 @@
             return None;
         }
         self.open.set(self.open.get() + 1);
-        Some(Slot { budget: self.clone(), turn: Cell::new(None), told: Cell::new(false) })
+        Some(Slot { budget: self.clone(), side, turn: Cell::new(None), told: Cell::new(false) })
     }
 
     /// Waits for a client's slot. Taken before its connection is accepted, since one that is accepted has to
@@ -111,7 +118,10 @@
         let mut silent = self.silent.borrow_mut();
         let first = match silent.first_entry().filter(|entry| ripe(entry.get())) {
             Some(entry) => Some((*entry.key(), entry.remove().1)),
-            None => self.idle.borrow_mut().pop_first(),
+            None => self.idle.borrow_mut().pop_first().map(|(turn, (side, close))| {
+                self.rest(side, false);
+                (turn, close)
+            }),
         };
         drop(silent);
         let found = first.is_some();
@@ -124,9 +134,24 @@
     }
 }
 
+impl Budget {
+    /// Whether so many clients' connections rest between two requests that no more shall.
+    pub fn crowded(&self) -> bool {
+        self.resting.get() >= (self.limit.get() as f64 * self.part.get()) as usize / RESTING_PART
+    }
+
+    fn rest(&self, side: Side, rests: bool) {
+        if side == Side::Client {
+            let resting = self.resting.get();
+            self.resting.set(if rests { resting + 1 } else { resting - 1 });
+        }
+    }
+}
+
 /// One connection's place in the budget, given back when dropped.
 pub struct Slot {
     budget: Rc<Budget>,
+    side: Side,
     turn: Cell<Option<u64>>,
     /// Told to close.
     told: Cell<bool>,
@@ -136,7 +161,8 @@
     /// Marks the connection idle from now on; `close` is called at most once, when descriptors run short.
     pub fn idle(&self, close: impl FnOnce() + 'static) {
         let Some(turn) = self.turn() else { return };
-        self.budget.idle.borrow_mut().insert(turn, Box::new(close));
+        self.budget.rest(self.side, true);
+        self.budget.idle.borrow_mut().insert(turn, (self.side, Box::new(close)));
     }
 
     /// The same for a new connection, from which nothing has come yet.
@@ -162,6 +188,9 @@
         let Some(turn) = self.turn.take() else { return };
         let close = self.budget.idle.borrow_mut().remove(&turn);
         let silent = self.budget.silent.borrow_mut().remove(&turn);
+        if close.is_some() {
+            self.budget.rest(self.side, false);
+        }
         if close.is_none() && silent.is_none() {
             self.told.set(true);
         }
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -369,7 +369,8 @@
             service.slot.busy();
             let mut response = service.front.answer(request, grace, doubtful).await;
             // Not where another request is on its way already: it would be lost.
-            if service.front.phases.leaving() && !service.watch.more() {
+            let close = service.front.phases.leaving() || service.front.budget.crowded();
+            if close && !service.watch.more() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             response.body_mut().ended = Some(Box::new(move || {
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -211,6 +211,22 @@
     assert!(head.counter("reclaimed") >= 20);
 }
 
+/// Guards against clients that find no connection left for a request, since others keep theirs after one.
+#[test]
+fn only_so_many_connections_of_clients_rest() {
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let head = Head::start_with(&discovery, None, &[], 96, "null");
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::new(head.http)).collect();
+    let kept = clients.iter_mut().filter_map(|client| {
+        let answer = client.ask(&read(3.0), b"");
+        assert_eq!(answer.status(), 200);
+        (answer.header("connection") != "close").then_some(())
+    });
+    let kept = kept.count();
+    assert!((12..=16).contains(&kept), "{kept} of 40 rest; a sixth of 96 may");
+}
+
 /// Guards against a watch that is cut off and gives no sign.
 #[test]
 fn a_silent_watch_is_dead_and_renewed_from_the_version_known() {
