--- a/src/node.rs
+++ b/src/node.rs
@@ -46,7 +46,7 @@
 /// is held before the first byte goes on, and of one that does not say its length too, for so long at least.
 const HELD: usize = 64 * 1024;
 const FIRST: usize = 8 * 1024;
-const FIRST_WAIT: Duration = Duration::from_millis(150);
+const FIRST_WAIT: Duration = Duration::from_millis(30);
 /// A node that stops for so long midway in an answer has nothing more to say, but for what the last piece may
 /// have taken at the least pace, in bytes a second. Once the answer passes on, there is no other to be had.
 const STOPPED: Duration = Duration::from_millis(250);
