Reach the private socket of an upgrade under a long folder too

Checked: the story of an upgrade with a folder of 130 bytes fails without the change (no listening socket is passed on). Conclusion: the folder's descriptor stands for a long path.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -18,9 +18,10 @@
     SendFlags, recvmsg, sendmsg,
 };
 use std::cell::RefCell;
+use std::fs::File;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::{AsFd, AsRawFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,8 @@
 
 /// How long the old process has to pass its sockets on; one that does not is taken for mute.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Longest path that a private socket is reached by; beyond it, its folder's descriptor stands for the folder.
+const LONGEST_PATH: usize = 100;
 /// Most sockets that are passed on: one for each front that clients use.
 const MOST_SOCKETS: usize = 2;
 /// What the processes tell each other.
@@ -99,7 +102,11 @@
     /// process or it is mute. A mute one keeps its half until it ends.
     pub async fn succeed(self: &Rc<Self>) -> Vec<std::net::TcpListener> {
         let Some(path) = &self.path else { return Vec::new() };
-        let stream = match UnixStream::connect(path).await {
+        let connecting = async {
+            let (short, _folder) = reach(path)?;
+            UnixStream::connect(short).await
+        };
+        let stream = match connecting.await {
             Ok(stream) => Rc::new(stream),
             Err(problem) => {
                 log::debug!("handover: no older process: {problem}");
@@ -237,13 +244,26 @@
     }
 }
 
+/// A path as a socket's address can hold it, valid for as long as the folder is held open.
+fn reach(path: &Path) -> io::Result<(PathBuf, Option<File>)> {
+    match (path.parent(), path.file_name()) {
+        (Some(folder), Some(name)) if path.as_os_str().len() > LONGEST_PATH => {
+            let folder = File::open(folder)?;
+            let short = Path::new("/proc/self/fd").join(folder.as_raw_fd().to_string()).join(name);
+            Ok((short, Some(folder)))
+        }
+        _ => Ok((path.into(), None)),
+    }
+}
+
 /// Listens at the path in place of the process that did before.
 fn listen(path: &Path) -> io::Result<UnixListener> {
     let draft = path.with_extension("new");
     if let Err(problem) = std::fs::remove_file(&draft) {
         log::debug!("handover: {problem}");
     }
-    let listener = UnixListener::bind(&draft)?;
+    let (short, _folder) = reach(&draft)?;
+    let listener = UnixListener::bind(short)?;
     std::fs::rename(&draft, path)?;
     Ok(listener)
 }
--- a/tests/stories_operators.rs
+++ b/tests/stories_operators.rs
@@ -84,11 +84,15 @@
     });
     let discovery =
         Discovery::start(&[entry("s-1", brick.address, 0, "ready"), entry("s-2", brick.address, 1, "ready")]);
-    let mut old = Head::start(&discovery, None, &[]);
+    // Longer than a socket's address can hold.
+    let folder = std::env::temp_dir().join(format!("flaxgap-{}-{}", std::process::id(), "x".repeat(100)));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let shared = [("TMPDIR", folder.to_str().expect("a path"))];
+    let mut old = Head::start(&discovery, None, &shared);
     let mut open = Client::new(old.http);
     open.send(&Client::request("play-fetch", "network", 1, 2.0, 0).replacen(" HTTP", "?slow HTTP", 1), b"");
     brick.wait_for(1);
-    let new = Head::start(&discovery, None, &[("TMPDIR", old.folder.to_str().expect("a path"))]);
+    let new = Head::start(&discovery, None, &shared);
     assert_eq!(new.http, old.http, "one socket");
     assert!(
         old.logged("0.5 of the head's share").is_some() && new.logged("0.5 of the head's share").is_some()
@@ -105,6 +109,7 @@
     assert_eq!((&kept.body[..], kept.header("connection")), (&b"kept"[..], "close"));
     assert!(old.ended());
     wait(|| new.logged("this process has 1 of the head's share"));
+    std::fs::remove_dir_all(folder).expect("removed");
 }
 
 /// Guards against waiting for an older process that is mute, and against giving up on a newer one's early end.
