Take Phases and the operators' slots out of the ring of imports; make a workspace

Daemon, fronts, handover and descriptors imported one another in a circle, so nothing new could read the phase without joining it. Phases is a module of its own beneath them, the operators' slots stand with the descriptors, and the repository is a workspace whose root package stays the daemon. The package for levels begins with its signals, estimators and settings.

--- /dev/null
+++ b/crates/levels/src/estimate.rs
@@ -0,0 +1,255 @@
+//! How readings come out of single events: parts and means over a sliding span, the silence of nodes by hall, and
+//! the lag of reports. Each keeps no more than its span or its nodes need.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// Two sums over a sliding span, in steps: what was counted, of how much.
+#[derive(Clone, Debug)]
+pub struct Sliding {
+    span: f64,
+    step: f64,
+    parts: VecDeque<(f64, f64, f64)>,
+    sums: (f64, f64),
+}
+
+impl Sliding {
+    /// Sums over the last `span` seconds, kept in steps of `step`.
+    pub fn new(span: f64, step: f64) -> Sliding {
+        Sliding { span, step, parts: VecDeque::new(), sums: (0.0, 0.0) }
+    }
+
+    /// Adds to both sums.
+    pub fn add(&mut self, now: f64, counted: f64, of: f64) {
+        self.sums = (self.sums.0 + counted, self.sums.1 + of);
+        match self.parts.back_mut().filter(|(at, ..)| now - *at < self.step) {
+            Some(last) => (last.1, last.2) = (last.1 + counted, last.2 + of),
+            None => self.parts.push_back((now, counted, of)),
+        }
+    }
+
+    /// The first sum's part of the second; none where the second is under `least`.
+    pub fn ratio(&mut self, now: f64, least: f64) -> Option<f64> {
+        while let Some((_, counted, of)) = self.parts.pop_front_if(|(at, ..)| now - *at > self.span) {
+            self.sums = (self.sums.0 - counted, self.sums.1 - of);
+        }
+        if self.parts.is_empty() {
+            // Rounding does not add up over days.
+            self.sums = (0.0, 0.0);
+        }
+        (self.sums.1 >= least && self.sums.1 > 0.0).then(|| self.sums.0 / self.sums.1)
+    }
+}
+
+/// What is known of one node's answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Node {
+    zone: u16,
+    out: u32,
+    /// The first send since its last answer that was not called off early.
+    waiting: Option<f64>,
+    /// When the last attempt ended, or was answered.
+    ended: f64,
+    answered: Option<f64>,
+}
+
+/// How an attempt ended, as far as the node's life goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The node said something, be it that it is full.
+    Answered,
+    /// No connection, a break, or silence up to the deadline.
+    Unanswered,
+    /// Called off from this side.
+    CalledOff,
+}
+
+/// Which nodes are silent, by hall.
+#[derive(Clone, Debug)]
+pub struct Silence {
+    after: f64,
+    recent: f64,
+    nodes: BTreeMap<u64, Node>,
+}
+
+/// What is known of one hall's nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Hall {
+    /// On the list as ready.
+    pub listed: u32,
+    /// Silent or failing for long enough.
+    pub lost: u32,
+    /// Answered lately.
+    pub heard: u32,
+}
+
+impl Hall {
+    /// The lost part of those of which something is known; none where that is less than half of the listed.
+    pub fn lost_part(self) -> Option<f64> {
+        let known = self.lost + self.heard;
+        (known > 0 && 2 * known >= self.listed).then(|| f64::from(self.lost) / f64::from(known))
+    }
+}
+
+impl Silence {
+    /// A node is lost once it has not answered for `after` seconds what was sent to it, and known for `recent`
+    /// seconds after its last word or the last attempt's end.
+    pub fn new(after: f64, recent: f64) -> Silence {
+        Silence { after, recent, nodes: BTreeMap::new() }
+    }
+
+    /// A node is on the list and takes work.
+    pub fn listed(&mut self, node: u64, zone: u16) {
+        self.nodes.entry(node).or_default().zone = zone;
+    }
+
+    /// A node left, or takes no more work.
+    pub fn gone(&mut self, node: u64) {
+        self.nodes.remove(&node);
+    }
+
+    /// All nodes left, since a whole list comes.
+    pub fn keep(&mut self, stays: impl Fn(u64) -> bool) {
+        self.nodes.retain(|node, _| stays(*node));
+    }
+
+    /// An attempt was sent.
+    pub fn sent(&mut self, now: f64, node: u64) {
+        if let Some(node) = self.nodes.get_mut(&node) {
+            node.out += 1;
+            node.waiting.get_or_insert(now);
+        }
+    }
+
+    /// An attempt that was sent at `sent_at` ended.
+    pub fn ended(&mut self, now: f64, node: u64, sent_at: f64, end: End) {
+        let Some(node) = self.nodes.get_mut(&node) else { return };
+        node.out = node.out.saturating_sub(1);
+        match end {
+            End::Answered => {
+                (node.answered, node.ended) = (Some(now), now);
+                // What is still out waits from now on: a node serves in turn.
+                node.waiting = (node.out > 0).then_some(now);
+            }
+            End::Unanswered => node.ended = now,
+            // A client that left early says nothing of the node.
+            End::CalledOff if now - sent_at < self.after => {
+                if node.out == 0 && node.waiting.is_some_and(|since| since >= sent_at) {
+                    node.waiting = None;
+                }
+            }
+            End::CalledOff => node.ended = now,
+        }
+    }
+
+    /// What is known of each hall.
+    pub fn halls(&self, now: f64) -> BTreeMap<u16, Hall> {
+        let mut halls: BTreeMap<u16, Hall> = BTreeMap::new();
+        for node in self.nodes.values() {
+            let hall = halls.entry(node.zone).or_default();
+            hall.listed += 1;
+            let silent = node.waiting.is_some_and(|since| now - since > self.after);
+            if silent && (node.out > 0 || now - node.ended <= self.recent) {
+                hall.lost += 1;
+            } else if node.answered.is_some_and(|at| now - at <= self.recent) {
+                hall.heard += 1;
+            }
+        }
+        halls
+    }
+}
+
+/// The lag of reports. A report may say of which moment it is; where none does, the lag is the time since any of
+/// them last told something new.
+#[derive(Clone, Debug)]
+pub struct Lag {
+    tolerance: f64,
+    newest: Option<f64>,
+    told: Option<f64>,
+    stamped: bool,
+    steps: u32,
+}
+
+impl Lag {
+    /// No report yet. A stamp more than `tolerance` seconds ahead of the clock is a clock's step, not news.
+    pub fn new(tolerance: f64) -> Lag {
+        Lag { tolerance, newest: None, told: None, stamped: false, steps: 0 }
+    }
+
+    /// A report that tells something new came, of the moment `of` if it says.
+    pub fn heard(&mut self, now: f64, of: Option<f64>) {
+        match of {
+            // One from the future would hide the lag of all that come after it.
+            Some(of) if of > now + self.tolerance => self.steps += 1,
+            Some(of) => {
+                self.stamped = true;
+                self.newest = Some(self.newest.map_or(of, |newest| newest.max(of)));
+                self.told = Some(now);
+            }
+            None => self.told = Some(now),
+        }
+    }
+
+    /// Reports whose stamp could not be right.
+    pub fn steps(&self) -> u32 {
+        self.steps
+    }
+
+    /// Seconds since the newest news, and when that was last known; none before the first report.
+    pub fn reading(&self, now: f64) -> Option<(f64, f64)> {
+        let told = self.told?;
+        let newest = self.newest.filter(|_| self.stamped).unwrap_or(told);
+        Some(((now - newest).max(0.0), told))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_part_counts_the_span_alone_and_nothing_where_too_little_came() {
+        let mut sliding = Sliding::new(2.0, 0.25);
+        for tick in 0..100 {
+            sliding.add(f64::from(tick) * 0.1, f64::from(u8::from(tick >= 50)), 1.0);
+        }
+        assert_eq!(sliding.ratio(9.9, 5.0), Some(1.0));
+        assert_eq!(sliding.ratio(11.5, 50.0), None);
+        assert_eq!(sliding.ratio(20.0, 0.0), None, "nothing is not a part");
+    }
+
+    /// Guards against a pause taken for a loss, a client's leaving taken for silence, and old silence that counts
+    /// for ever.
+    #[test]
+    fn a_node_is_lost_by_silence_alone_and_not_for_ever() {
+        let mut silence = Silence::new(0.5, 3.0);
+        silence.listed(1, 7);
+        silence.sent(0.0, 1);
+        let hall = |silence: &Silence, now| silence.halls(now)[&7];
+        assert_eq!(hall(&silence, 0.3).lost_part(), None, "nothing is known yet");
+        silence.ended(0.4, 1, 0.0, End::CalledOff);
+        assert_eq!(hall(&silence, 2.0).lost, 0, "its client left");
+        silence.sent(2.0, 1);
+        assert_eq!(hall(&silence, 2.6).lost_part(), Some(1.0));
+        silence.ended(4.0, 1, 2.0, End::Unanswered);
+        assert_eq!(hall(&silence, 6.9).lost_part(), Some(1.0));
+        assert_eq!(hall(&silence, 7.1).lost_part(), None, "old silence is no evidence");
+        silence.sent(8.0, 1);
+        silence.ended(8.1, 1, 8.0, End::Answered);
+        assert_eq!(hall(&silence, 9.0).lost_part(), Some(0.0));
+        silence.gone(1);
+        assert!(silence.halls(9.0).is_empty());
+    }
+
+    #[test]
+    fn lag_is_seen_through_late_reports_through_silence_and_not_through_a_step() {
+        let mut lag = Lag::new(0.5);
+        assert_eq!(lag.reading(1.0), None);
+        lag.heard(10.0, Some(9.0));
+        assert_eq!(lag.reading(10.0), Some((1.0, 10.0)));
+        lag.heard(12.0, Some(8.6));
+        assert_eq!(lag.reading(12.0), Some((3.0, 12.0)), "the newest counts");
+        lag.heard(13.0, Some(99.0));
+        assert_eq!((lag.reading(13.0), lag.steps()), (Some((4.0, 12.0)), 1));
+        assert_eq!(lag.reading(50.0), Some((41.0, 12.0)), "the reading's own age tells that it stopped");
+    }
+}
--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -8,8 +8,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Connections that the operators' door holds at a time, beside the budget.
+pub const FOR_OPERATORS: usize = 16;
 /// Descriptors kept free for the operators' door, the listeners, discovery, the log and what the runtime needs.
-const KEPT: usize = 24 + crate::front::ops::SLOTS;
+const KEPT: usize = 24 + FOR_OPERATORS;
 /// Part of the rest that connections from clients leave to those to nodes: a client that can't be served
 /// gains nothing by being let in.
 const FOR_NODES: usize = 5;
--- a/src/front/block/mod.rs
+++ b/src/front/block/mod.rs
@@ -11,8 +11,8 @@
 
 use crate::core::{Dispatcher, Transport};
 use crate::counters::Counters;
-use crate::daemon::Phases;
 use crate::descriptors::Budget;
+use crate::phases::Phases;
 use bytes::Bytes;
 use config::Target;
 use login::Params;
--- a/src/front/ops.rs
+++ b/src/front/ops.rs
@@ -4,9 +4,10 @@
 //! delay it. When all are taken, the caller that has kept one longest without a whole call gives it up.
 
 use crate::counters::Counters;
-use crate::daemon::{Phase, Phases};
+use crate::descriptors::FOR_OPERATORS;
 use crate::discovery::Directory;
 use crate::handover::Handover;
+use crate::phases::{Phase, Phases};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -25,8 +26,6 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::timeout;
 
-/// Connections at a time; the budget keeps as many descriptors free for them.
-pub const SLOTS: usize = 16;
 /// How long a connection is kept at most.
 const KEPT: Duration = Duration::from_secs(6);
 /// Pause after the system would not give a connection.
@@ -53,7 +52,7 @@
         directory: Rc<Directory>,
         handover: Rc<Handover>,
     ) -> Rc<OpsFront> {
-        let free = Arc::new(Semaphore::new(SLOTS));
+        let free = Arc::new(Semaphore::new(FOR_OPERATORS));
         Rc::new(OpsFront { phases, counters, directory, handover, waiting: RefCell::default(), free })
     }
 
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -9,10 +9,10 @@
 use crate::api::Event;
 use crate::bans::Bans;
 use crate::core::Dispatcher;
-use crate::daemon::Phases;
 use crate::descriptors::Budget;
 use crate::discovery::Directory;
 use crate::memory::Memory;
+use crate::phases::Phases;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
 pub mod memory;
 pub mod node;
 pub mod ops;
+pub mod phases;
 pub mod plugin;
 
 pub use logic::Scheduler;
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -160,8 +160,8 @@
 #[test]
 fn a_connection_accepted_after_the_idle_ones_were_closed_is_still_served() {
     use flaxgap::{
-        config, core, counters::Counters, daemon, descriptors, front::http::HttpFront, memory::Memory,
-        node::Nodes,
+        config, core, counters::Counters, descriptors, front::http::HttpFront, memory::Memory, node::Nodes,
+        phases,
     };
     use std::rc::Rc;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -169,7 +169,7 @@
         let (settings, notes) = config::read(SETTINGS.as_bytes()).expect("settings");
         let counters = Rc::new(Counters::default());
         let budget = descriptors::Budget::new(100, counters.clone());
-        let (phases, memory) = (Rc::new(daemon::Phases::default()), Memory::new(32));
+        let (phases, memory) = (Rc::new(phases::Phases::default()), Memory::new(32));
         let front = Rc::new(HttpFront {
             dispatcher: core::Dispatcher::new(settings, 1, core::Clock::start(), counters.clone())
                 .expect("served"),
@@ -184,7 +184,7 @@
         let address = listener.local_addr().expect("an address");
         let mut client = Client::new(address);
         let (stream, _) = listener.accept().await.expect("the client");
-        phases.enter(daemon::Phase::Draining);
+        phases.enter(phases::Phase::Draining);
         phases.close_idle();
         front.admit(stream, budget.client_slot().await);
         for _ in 0..50 {
