Decide levels of reduced service in a package of their own, and their effect in the module

Under pressure a head shed by each request's own prospects, and nobody could say what it was doing or why. crates/levels holds the decisions without clock, files or sockets (checked by its clippy.toml): signals with an age, evidence over windows, a ladder with separate thresholds in and out, dwell that doubles on relapse, a bound on changes, pins. The module hears of the level by one event and answers at once what it holds back, by class, plan and band; it counts how reserved work ends. src/watch.rs reads the signals out of what the module hears and says.

--- a/crates/levels/src/estimate.rs
+++ b/crates/levels/src/estimate.rs
@@ -29,8 +29,9 @@
 
     /// The first sum's part of the second; none where the second is under `least`.
     pub fn ratio(&mut self, now: f64, least: f64) -> Option<f64> {
-        while let Some((_, counted, of)) = self.parts.pop_front_if(|(at, ..)| now - *at > self.span) {
+        while let Some((_, counted, of)) = self.parts.front().filter(|(at, ..)| now - at > self.span) {
             self.sums = (self.sums.0 - counted, self.sums.1 - of);
+            self.parts.pop_front();
         }
         if self.parts.is_empty() {
             // Rounding does not add up over days.
--- a/crates/levels/src/evidence.rs
+++ b/crates/levels/src/evidence.rs
@@ -48,7 +48,8 @@
     /// not hold.
     pub fn part(&self, now: f64) -> Option<f64> {
         let (first, _) = self.looks.front()?;
-        (now - first >= self.span && self.looks.len() >= self.least).then(|| self.holds as f64 / self.looks.len() as f64)
+        (now - first >= self.span && self.looks.len() >= self.least)
+            .then(|| self.holds as f64 / self.looks.len() as f64)
     }
 
     /// When the condition was last known, either way.
--- a/crates/levels/src/settings.rs
+++ b/crates/levels/src/settings.rs
@@ -51,8 +51,10 @@
 }
 
 /// A threshold on one signal.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Condition {
+    /// The signal's name, as it was worded.
+    pub name: String,
     /// What is read.
     pub signal: Signal,
     /// The value, in the signal's unit.
@@ -295,9 +297,13 @@
                 return self.fail(value.span(), key, "no such signal, or an unknown class");
             };
             if !(threshold >= 0.0 && threshold <= signal.most()) {
-                return self.fail(value.span(), key, format!("{threshold} is not from 0 to {}", signal.most()));
+                return self.fail(
+                    value.span(),
+                    key,
+                    format!("{threshold} is not from 0 to {}", signal.most()),
+                );
             }
-            conditions.push(Condition { signal, threshold });
+            conditions.push(Condition { name: name.clone(), signal, threshold });
         }
         Ok(conditions)
     }
@@ -342,7 +348,7 @@
             return self.fail(span, format!("{key}.leave"), "a level needs a way out");
         }
         for entry in &enter {
-            let name = entry.signal.name(&self.names.classes);
+            let name = &entry.name;
             let Some(exit) = leave.iter().find(|exit| exit.signal == entry.signal) else {
                 let problem = "is entered by, so it needs a threshold to leave by";
                 return self.fail(span, format!("{key}.leave.{name}"), problem);
@@ -352,7 +358,7 @@
                     "{} is at or past the entry at {}: there must be a gap between them",
                     exit.threshold, entry.threshold
                 );
-                let at = file.leave.get(&name).map_or(span.clone(), |value| value.span());
+                let at = file.leave.get(name).map_or(span.clone(), |value| value.span());
                 return self.fail(at, format!("{key}.leave.{name}"), problem);
             }
         }
@@ -367,7 +373,8 @@
         otherwise: Vec<Rung>,
         usual: &LadderSettings,
     ) -> Result<LadderSettings, SettingsError> {
-        let figure = |from, name: &str, usual, range| self.figure(from, &format!("{key}.{name}"), usual, range);
+        let figure =
+            |from, name: &str, usual, range| self.figure(from, &format!("{key}.{name}"), usual, range);
         let window = figure(&file.window_s, "window_s", usual.window, (2.0 * usual.period, 600.0))?;
         let dwell = figure(&file.dwell_s, "dwell_s", 15.0f64.max(window), (window, 3600.0))?;
         let evidence = figure(&file.evidence, "evidence", usual.evidence, (0.5, 1.0))?;
@@ -416,7 +423,8 @@
     ) -> Result<Settings, SettingsError> {
         let reader = Reader { text, names };
         let period = reader.figure(&file.period_s, "levels.period_s", 0.25, (0.05, 10.0))?;
-        let stale = reader.figure(&file.stale_s, "levels.stale_s", 3.0f64.max(4.0 * period), (period, 600.0))?;
+        let stale =
+            reader.figure(&file.stale_s, "levels.stale_s", 3.0f64.max(4.0 * period), (period, 600.0))?;
         let span = reader.figure(&file.span_s, "levels.span_s", 2.0f64.max(2.0 * period), (period, 600.0))?;
         let least = reader.figure(&file.least_requests, "levels.least_requests", 10.0, (1.0, 1e6))?;
         let silent_after = reader.figure(&file.silent_after_s, "levels.silent_after_s", 0.6, (0.05, 60.0))?;
@@ -430,7 +438,8 @@
             blind: 10.0,
             period,
         };
-        let saves = names.classes.iter().enumerate().filter(|(i, _)| writes.get(*i).copied().unwrap_or(false));
+        let saves =
+            names.classes.iter().enumerate().filter(|(i, _)| writes.get(*i).copied().unwrap_or(false));
         let saves: Vec<String> = saves.map(|(_, name)| format!("{name:?}")).collect();
         let head = built_in(&DEFAULT_HEAD.replace("SAVES", &saves.join(", ")), names, &usual(3.0, 4))?;
         let head = reader.ladder(&file.head, "levels.head", head, &usual(3.0, 4))?;
@@ -510,7 +519,12 @@
             (level(reserve, "", "held = 0.8"), 1, "levels.head.level[0].enter", "can't be entered"),
             (level(reserve, "held = 0.5", ""), 1, "levels.head.level[0].leave", "way out"),
             (level("", "held = 0.5", "held = 0.2"), 1, "levels.head.level[0].lets", "nothing back"),
-            (level(reserve, "memory = 1.5", "memory = 0.2"), 4, "levels.head.level[0].enter.memory", "0 to 1"),
+            (
+                level(reserve, "memory = 1.5", "memory = 0.2"),
+                4,
+                "levels.head.level[0].enter.memory",
+                "0 to 1",
+            ),
             (
                 level("{ pass = \"share\", classes = [\"gold\"] }", "held = 0.5", "held = 0.2"),
                 3,
--- a/src/api.rs
+++ b/src/api.rs
@@ -317,6 +317,57 @@
     pub latency: Option<f64>,
 }
 
+/// How much of a class's work on a plan a level of reduced service lets pass; each less than the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Pass {
+    /// Everything.
+    #[default]
+    All,
+    /// What is inside the volume's reserve, and inside its share of what is left.
+    Share,
+    /// What is inside the volume's reserve.
+    Reserve,
+    /// One request at a time, which shows whether the way is open again.
+    Nothing,
+}
+
+/// A level of reduced service, as the caller has it in force. What is not there passes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Level {
+    /// What passes, by class and plan.
+    pub pass: Vec<Vec<Pass>>,
+    /// What passes of the work that only one zone can serve, where that is less.
+    pub zones: Vec<(ZoneId, Vec<Vec<Pass>>)>,
+    /// When it could end at the earliest.
+    pub until: f64,
+}
+
+impl Level {
+    /// What passes of a class on a plan at the node of a zone.
+    pub fn pass(&self, class: ClassId, plan: PlanId, zone: Option<ZoneId>) -> Pass {
+        let of = |table: &Vec<Vec<Pass>>| table.get(class.0).and_then(|c| c.get(plan.0)).copied();
+        let zones = self.zones.iter().filter(|(z, _)| Some(*z) == zone).filter_map(|(_, table)| of(table));
+        zones.chain(of(&self.pass)).max().unwrap_or_default()
+    }
+
+    /// Whether it holds anything back.
+    pub fn reduces(&self) -> bool {
+        let all = |table: &Vec<Vec<Pass>>| table.iter().flatten().all(|pass| *pass == Pass::All);
+        !all(&self.pass) || !self.zones.iter().all(|(_, table)| all(table))
+    }
+}
+
+/// How work that was inside its volume's reserve when it came has ended, since the scheduler's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Kept {
+    /// Served within its class's aim.
+    pub met: u64,
+    /// Ended in any way.
+    pub all: u64,
+    /// Seconds from arrival to end, in all.
+    pub delay: f64,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -434,6 +485,8 @@
         /// The part, up to 1.
         part: f64,
     },
+    /// A level of reduced service is in force from now on, in place of the one before.
+    Level(Level),
 }
 
 /// What a scheduler asks for.
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -16,6 +16,11 @@
         self.0.set(self.0.get() + 1);
     }
 
+    /// Follows a count that is kept elsewhere and never falls.
+    pub fn follow(&self, count: u64) {
+        self.0.set(self.0.get().max(count));
+    }
+
     /// The count.
     pub fn get(&self) -> u64 {
         self.0.get()
@@ -55,18 +60,37 @@
         pub struct Counters {
             $($(#[$doc])* pub $name: Counter,)*
             in_flight: Cell<u64>,
+            levels: Cell<LevelGauges>,
             classes: Vec<OfClass>,
         }
 
         impl Counters {
             /// Names and figures, in a fixed order.
             pub fn pairs(&self) -> Vec<(&'static str, u64)> {
-                vec![$((stringify!($name), self.$name.get()),)* ("in_flight", self.in_flight.get())]
+                let levels = self.levels.get();
+                vec![
+                    $((stringify!($name), self.$name.get()),)*
+                    ("in_flight", self.in_flight.get()),
+                    ("level", levels.level),
+                    ("halls_reduced", levels.halls),
+                    ("levels_pinned", levels.pinned),
+                ]
             }
         }
     };
 }
 
+/// Where the levels of reduced service stand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LevelGauges {
+    /// The head's place on its ladder, 0 for `normal`.
+    pub level: u64,
+    /// Halls at a level of their own.
+    pub halls: u64,
+    /// Levels that operators hold.
+    pub pinned: u64,
+}
+
 counters! {
     /// Requests taken.
     taken,
@@ -116,6 +140,10 @@
     block_task_set_full,
     /// PDUs of the block front that were rejected.
     block_rejects,
+    /// Requests answered because of a level of reduced service.
+    withheld,
+    /// Changes of level, pins among them.
+    level_changes,
     /// Calls of the plug-in that went wrong.
     plugin_failures,
     /// Idle connections closed because descriptors ran short.
@@ -188,6 +216,11 @@
         Rc::new(Counters { classes: classes.iter().map(class).collect(), ..Counters::default() })
     }
 
+    /// Notes where the levels of reduced service stand.
+    pub fn set_levels(&self, levels: LevelGauges) {
+        self.levels.set(levels);
+    }
+
     /// A request of a class begins.
     pub fn flight(self: &Rc<Self>, class: ClassId) -> Flight {
         Flight { counters: self.clone(), class, taken: Cell::new(false), settled: Cell::new(false) }
@@ -231,7 +264,7 @@
 
 /// Whether a figure tells the moment, and may fall.
 pub fn is_gauge(name: &str) -> bool {
-    name == "in_flight"
+    ["in_flight", "level", "halls_reduced", "levels_pinned"].contains(&name)
 }
 
 impl fmt::Display for Counters {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,5 +85,6 @@
 pub mod ops;
 pub mod phases;
 pub mod plugin;
+pub mod watch;
 
 pub use logic::Scheduler;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,6 +58,8 @@
 const PATIENCE: f64 = 0.45;
 /// Seconds after which a volume's stores are full again, unless its limit takes longer.
 const MEMORY: f64 = 60.0;
+/// Multiples of the tightest aim that a request is waited for that shows whether a cut way is open again.
+const TRIAL: f64 = 2.0;
 /// Ticks of the caller's clock before a client's deadline at which a held request is answered.
 const ANSWER_TICKS: f64 = 2.0;
 
@@ -269,6 +271,9 @@
     wake_at: f64,
     blocked_until: f64,
     weather: Weather,
+    level: Level,
+    kept: BTreeMap<(Option<ZoneId>, ClassId), Kept>,
+    withheld: u64,
 }
 
 impl Scheduler {
@@ -300,6 +305,9 @@
             wake_at: f64::INFINITY,
             blocked_until: f64::INFINITY,
             weather: Weather { fade: FADES * tightest, ..Weather::default() },
+            level: Level::default(),
+            kept: BTreeMap::new(),
+            withheld: 0,
             set: settings,
         })
     }
@@ -318,6 +326,9 @@
         self.blocked_until = f64::INFINITY;
         self.call_off(actions);
         self.dispatch(actions);
+        if self.level.reduces() {
+            self.withhold(actions);
+        }
         self.give_up(actions);
         if let Some(at) = self.ask_at.filter(|at| self.now >= *at) {
             actions.push(Action::WatchNodes);
@@ -326,6 +337,16 @@
         self.set_wake_up(actions);
     }
 
+    /// How reserved work has ended, by the zone of its node and its class.
+    pub fn kept(&self) -> &BTreeMap<(Option<ZoneId>, ClassId), Kept> {
+        &self.kept
+    }
+
+    /// Requests that were answered because of a level of reduced service, since the start.
+    pub fn withheld(&self) -> u64 {
+        self.withheld
+    }
+
     fn take_in(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::Nodes { kind, nodes } => self.follow_list(*kind, nodes),
@@ -343,6 +364,7 @@
             }
             Event::Probed { .. } => {}
             Event::WakeUp => self.wake_at = f64::INFINITY,
+            Event::Level(level) => self.level = level.clone(),
             Event::Share { part } => {
                 (self.part, self.started) = ((*part, 0.0), self.now);
                 self.volumes.values_mut().for_each(|volume| volume.at = self.now);
@@ -458,7 +480,13 @@
         let queued: usize = lane.queues.iter().map(Vec::len).sum();
         let work = 1.0 + queued as f64 / lane.window + lane.out.len() as f64 / lane.window;
         let cold = if self.cold_rate(lane).is_some() { 4.0 } else { 1.0 };
-        let down = if lane.failures > 0 { 100.0 } else { 1.0 };
+        let zone = lane.target.as_ref().map(|t| t.zone);
+        let cut = self
+            .level
+            .zones
+            .iter()
+            .any(|(z, p)| Some(*z) == zone && p.iter().flatten().all(|pass| *pass == Pass::Nothing));
+        let down = if lane.failures > 0 || cut { 100.0 } else { 1.0 };
         work * lane.latency_now(self.now, self.weather).max(1e-3) * cold * down
     }
 
@@ -521,12 +549,63 @@
         }
     }
 
+    /// What the level in force lets pass of a request's kind.
+    fn pass(&self, held: &Held) -> Pass {
+        let zone = self.lanes.get(&held.lane).and_then(|lane| Some(lane.target.as_ref()?.zone));
+        self.level.pass(held.ask.class, held.ask.plan, zone)
+    }
+
+    /// Answers at once what the level in force does not let wait: of each volume, oldest first, what its reserve
+    /// will not cover before it is late and, where shares pass, what its part by weight of the lane's pace will not.
+    fn withhold(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let queued: Vec<RequestId> = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id).collect();
+        let mut weights: BTreeMap<ShardId, BTreeMap<VolumeId, f64>> = BTreeMap::new();
+        for held in queued.iter().map(|id| &self.held[id]) {
+            let weight = self.set.plans.get(held.ask.plan.0).map_or(1.0, |p| p.weight.max(0.01));
+            weights.entry(held.lane).or_default().insert(held.ask.volume, weight);
+        }
+        let mut ahead: BTreeMap<(Option<ShardId>, VolumeId), f64> = BTreeMap::new();
+        for id in queued {
+            let pass = self.pass(&self.held[&id]);
+            let (ask, shard) = (self.held[&id].ask.clone(), self.held[&id].lane);
+            let reserve = self.set.plans.get(ask.plan.0).map_or(0.0, |p| p.reserve);
+            let store =
+                self.refill(ask.volume, ask.plan).map_or((ask.units, 1.0), |(v, _)| (v.reserve, v.hosts));
+            let lane = &self.lanes[&shard];
+            let left = self.held[&id].aim_at - lane.latency[ask.class.0] - now;
+            let covered = store.0 + left.max(0.0) * reserve / store.1.sqrt();
+            let before = ahead.get(&(None, ask.volume)).copied().unwrap_or(0.0);
+            let inside = left > 0.0 && before + ask.units <= covered;
+            // What a host's window at a node is worth in units a second, by Little's law.
+            let pace = lane.window * self.set.mean_units / lane.recent.max(1e-3);
+            let part = weights[&shard][&ask.volume] / weights[&shard].values().sum::<f64>();
+            let place = if inside { (None, ask.volume) } else { (Some(shard), ask.volume) };
+            let waiting = ahead.entry(place).or_insert(0.0);
+            let keeps = match pass {
+                Pass::All => true,
+                Pass::Share => inside || left > 0.0 && *waiting <= part * pace * left,
+                Pass::Reserve => inside,
+                Pass::Nothing => false,
+            };
+            *waiting += if keeps { ask.units } else { 0.0 };
+            if !keeps {
+                self.withheld += 1;
+                self.answer(id, actions);
+            }
+        }
+    }
+
     /// Seconds until a refused client should come again: the limit has its units, and the lane is open.
     fn come_again(&mut self, id: RequestId) -> f64 {
         let lane = &self.lanes[&self.held[&id].lane];
         let node = (lane.closed_until - self.now).max(lane.latency_now(self.now, self.weather));
         let node = if lane.target.is_some() { node } else { BACKOFF.1 };
-        self.limit_in(id, false).max(node)
+        let level = match self.pass(&self.held[&id]) {
+            Pass::All | Pass::Share => 0.0,
+            Pass::Reserve | Pass::Nothing => self.level.until - self.now,
+        };
+        self.limit_in(id, false).max(node).max(level)
     }
 
     /// Rule 5: seconds until a first send fits its volume's limit, if none of the volume's goes before.
@@ -555,7 +634,7 @@
             false => Action::Fail { request: id },
         });
         let waited = self.held.get(&id).map_or(0.0, |h| self.now - h.arrived);
-        self.note_delay(id, waited);
+        self.note_delay(id, waited, false);
         self.end(id);
     }
 
@@ -584,10 +663,14 @@
 
     /// Exception: only what was inside its volume's reserve when it came is sampled: the rest of a hot
     /// volume's waits long, and would draw weight to the class it happens to be in.
-    fn note_delay(&mut self, id: RequestId, delay: f64) {
+    fn note_delay(&mut self, id: RequestId, delay: f64, served: bool) {
         if let Some(held) = self.held.get(&id).filter(|h| !h.over && h.reserved) {
             let tick = &mut self.classes[held.ask.class.0].tick;
             *tick = (tick.0 + delay, tick.1 + 1);
+            let zone = self.lanes.get(&held.lane).and_then(|lane| Some(lane.target.as_ref()?.zone));
+            let kept = self.kept.entry((zone, held.ask.class)).or_default();
+            kept.met += u64::from(served && self.now <= held.aim_at);
+            (kept.all, kept.delay) = (kept.all + 1, kept.delay + delay);
         }
     }
 
@@ -627,7 +710,7 @@
         if !done && outcome != Outcome::Ok && !self.held[&id].over {
             return if last { self.answer(id, actions) } else { self.try_again(id, actions) };
         }
-        self.note_delay(id, now - arrived);
+        self.note_delay(id, now - arrived, outcome == Outcome::Ok);
         self.end(id);
     }
 
@@ -731,7 +814,8 @@
         let (held, lane) = (&self.held[&id], &self.lanes[&shard]);
         let (now, tick, units) = (self.now, self.set.tick, held.ask.units);
         let class = &self.set.classes[held.ask.class.0];
-        if !held.may_send(class.repeat, lane.target.as_ref()?, now, tick) {
+        let target = lane.target.clone()?;
+        if !held.may_send(class.repeat, &target, now, tick) {
             return None;
         }
         // Rule 6: only the first in line of its extent, and not while the extent rests.
@@ -766,6 +850,14 @@
             false if reserve >= units => (RESERVED, held.aim_at),
             false => (SHARED, tag),
         };
+        // A level lets what it does not reserve go only to a node that this host has nothing out at.
+        let (idle, pass) =
+            (lane.out.is_empty(), self.level.pass(held.ask.class, held.ask.plan, Some(target.zone)));
+        if pass == Pass::Nothing && !idle
+            || pass == Pass::Reserve && standing.0 != RESERVED && !(idle && latency < 1.0)
+        {
+            return None;
+        }
         // Exception: past `PRESSED` the node's own queue would delay reserved work, so late work waits, and
         // shared work keeps one out; of many hosts only `LONE`, the rest by a mark drawn for each request.
         let crowd = held.draw * f64::from(self.set.hosts) > LONE;
@@ -811,7 +903,11 @@
         let first = held.attempts.is_empty();
         held.queued = false;
         held.attempts.push(Attempt { shard, zone: target.zone, epoch: lane.epoch, at: now, outcome: None });
-        actions.push(Action::Send { request: id, node: target.node, abandon_at: held.deadline });
+        // What only shows whether the way is open need not wait out its client's time.
+        let pass = self.level.pass(held.ask.class, held.ask.plan, Some(target.zone));
+        let most = if pass == Pass::Nothing { now + TRIAL * self.tightest } else { f64::INFINITY };
+        let abandon_at = held.deadline.min(most);
+        actions.push(Action::Send { request: id, node: target.node, abandon_at });
         let (volume, plan) = (held.ask.volume, held.ask.plan);
         if !first {
             self.further.extend(self.set.budget.map(|_| now));
