Run the levels in the head: signals, the operators' calls, pins, reload and upgrades

The decisions on levels had no head round them. The dispatcher lets a watch see what the module hears and says, looks once a period and tells the module what the levels let pass; [levels] in the operators' file switches it on, is checked with line and key, and is applied by a reload or not at all. GET /ops/levels shows level, reason, what would end it and the last hundred changes; pins need who and why, lapse, and outlive a crash and an upgrade. Counters withheld and level_changes, three gauges, one log line a change.

--- a/crates/levels/src/settings.rs
+++ b/crates/levels/src/settings.rs
@@ -105,6 +105,8 @@
     pub period: f64,
     /// Age in seconds past which a reading is stale.
     pub stale: f64,
+    /// Seconds after a node's last word, or its last attempt's end, for which something is known of it.
+    pub recent: f64,
     /// Span in seconds that parts and means are taken over.
     pub span: f64,
     /// Least requests in a span that a part is taken of.
@@ -155,6 +157,7 @@
 pub struct LevelsFile {
     period_s: Option<Spanned<f64>>,
     stale_s: Option<Spanned<f64>>,
+    recent_s: Option<Spanned<f64>>,
     span_s: Option<Spanned<f64>>,
     least_requests: Option<Spanned<f64>>,
     silent_after_s: Option<Spanned<f64>>,
@@ -423,8 +426,8 @@
     ) -> Result<Settings, SettingsError> {
         let reader = Reader { text, names };
         let period = reader.figure(&file.period_s, "levels.period_s", 0.25, (0.05, 10.0))?;
-        let stale =
-            reader.figure(&file.stale_s, "levels.stale_s", 3.0f64.max(4.0 * period), (period, 600.0))?;
+        let stale = reader.figure(&file.stale_s, "levels.stale_s", 2.0 * period, (period, 600.0))?;
+        let recent = reader.figure(&file.recent_s, "levels.recent_s", 3.0, (period, 600.0))?;
         let span = reader.figure(&file.span_s, "levels.span_s", 2.0f64.max(2.0 * period), (period, 600.0))?;
         let least = reader.figure(&file.least_requests, "levels.least_requests", 10.0, (1.0, 1e6))?;
         let silent_after = reader.figure(&file.silent_after_s, "levels.silent_after_s", 0.6, (0.05, 60.0))?;
@@ -443,10 +446,20 @@
         let saves: Vec<String> = saves.map(|(_, name)| format!("{name:?}")).collect();
         let head = built_in(&DEFAULT_HEAD.replace("SAVES", &saves.join(", ")), names, &usual(3.0, 4))?;
         let head = reader.ladder(&file.head, "levels.head", head, &usual(3.0, 4))?;
-        let hall = built_in(DEFAULT_HALL, names, &usual(1.0, 9))?;
-        let hall = reader.ladder(&file.hall, "levels.hall", hall, &usual(1.0, 9))?;
+        let hall = built_in(DEFAULT_HALL, names, &usual(1.5, 9))?;
+        let hall = reader.ladder(&file.hall, "levels.hall", hall, &usual(1.5, 9))?;
+        for ladder in [&head, &hall] {
+            // Or else one reading, which stays fresh for so long, would be evidence alone.
+            let least = ladder.evidence * ladder.window - period;
+            if stale > least {
+                let at = file.stale_s.as_ref().map_or(0..0, Spanned::span);
+                let problem =
+                    format!("{stale} is over {least:.3}, so that one reading would be evidence alone");
+                return reader.fail(at, "levels.stale_s", problem);
+            }
+        }
         let names = names.clone();
-        Ok(Settings { period, stale, span, least, silent_after, head, hall, names })
+        Ok(Settings { period, stale, recent, span, least, silent_after, head, hall, names })
     }
 
     /// What an empty table settles.
@@ -543,6 +556,7 @@
             ("[head]\ndwell_s = 1.0".into(), 2, "levels.head.dwell_s", "3 to 3600"),
             ("[head]\nchanges = 3".into(), 2, "levels.head.changes", "4 to 1000"),
             ("[hall]\nevidence = 0.2".into(), 2, "levels.hall.evidence", "0.5 to 1"),
+            ("period_s = 0.25\nstale_s = 2.0".into(), 2, "levels.stale_s", "evidence alone"),
             ("\n\nwindow = 3".into(), 3, "levels", "unknown field"),
         ];
         for (text, line, key, problem) in cases {
--- a/src/core.rs
+++ b/src/core.rs
@@ -7,8 +7,10 @@
 use crate::Scheduler;
 use crate::api::*;
 use crate::content::{Content, Payload, Upload};
-use crate::counters::{Counters, Final, Flight};
+use crate::counters::{Counters, Final, Flight, LevelGauges};
+use crate::watch::{Gauges, Watch};
 use bytes::Bytes;
+use flaxgap_levels::report::Change;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -213,6 +215,9 @@
     woken: Notify,
     counters: Rc<Counters>,
     observer: RefCell<Option<Rc<dyn Observer>>>,
+    watch: RefCell<Option<Watch>>,
+    /// What the module has taken of the core since the watch began.
+    spent: Cell<Duration>,
     finish_by: Cell<Option<Instant>>,
     ids: RefCell<Ids>,
 }
@@ -233,7 +238,8 @@
         let state = RefCell::new(state);
         let (woken, observer) = (Notify::new(), RefCell::new(None));
         let (finish_by, ids) = (Cell::new(None), RefCell::default());
-        Ok(Rc::new(Dispatcher { state, clock, woken, counters, observer, finish_by, ids }))
+        let (watch, spent) = Default::default();
+        Ok(Rc::new(Dispatcher { state, clock, woken, counters, observer, watch, spent, finish_by, ids }))
     }
 
     /// Has an observer see all requests from now on.
@@ -241,6 +247,46 @@
         self.observer.replace(Some(observer));
     }
 
+    /// Has a watch keep the levels of reduced service from now on; none leaves all at normal.
+    pub fn watch(&self, watch: Option<Watch>) {
+        self.watch.replace(watch);
+        self.spent.set(Duration::ZERO);
+        self.counters.set_levels(LevelGauges::default());
+        self.tell(&[Event::Level(Level::default())]);
+    }
+
+    /// The watch, for an operator's call, at this moment of the module's clock; none where levels are off.
+    pub fn watched<R>(&self, call: impl FnOnce(&mut Watch, f64) -> R) -> Option<R> {
+        self.watch.borrow_mut().as_mut().map(|watch| call(watch, self.clock.now()))
+    }
+
+    /// Tells the module of the levels in force, if it has not heard of them yet.
+    pub fn apply_level(&self) {
+        let level = self.watched(|watch, now| watch.moved(now)).flatten();
+        level.into_iter().for_each(|level| self.tell(&[Event::Level(level)]));
+    }
+
+    /// Looks at the signals and tells the module what follows; the levels that changed. `memory` and
+    /// `descriptors` are the parts in use.
+    pub fn look(&self, memory: f64, descriptors: f64) -> Vec<Change> {
+        let gauges = Gauges { memory, descriptors, module: self.spent.get().as_secs_f64() };
+        let looked = self.watched(|watch, now| {
+            let state = self.state.borrow();
+            self.counters.withheld.follow(state.scheduler.withheld());
+            let looked = watch.look(now, state.scheduler.kept(), gauges);
+            let ((level, halls), pinned) = (watch.governor().rungs(), watch.governor().pinned());
+            let [level, halls, pinned] = [level, halls, pinned].map(|count| count as u64);
+            self.counters.set_levels(LevelGauges { level, halls, pinned });
+            self.counters.level_changes.follow(watch.governor().total());
+            looked
+        });
+        let looked = looked.unwrap_or_default();
+        if let Some(level) = looked.level {
+            self.tell(&[Event::Level(level)]);
+        }
+        looked.changes
+    }
+
     /// Takes an id for one request; false where a request has or had it. Ids are fresh on every request, a
     /// repeat included, and nodes would take a second one for another attempt of the first.
     pub fn claim(&self, id: &Bytes) -> bool {
@@ -286,7 +332,12 @@
         }
         state.next_call = now + state.tick;
         let events = std::mem::take(&mut state.pending);
-        state.scheduler.handle(self.clock.now(), &events, &mut actions);
+        let now = self.clock.now();
+        state.scheduler.handle(now, &events, &mut actions);
+        if let Some(watch) = self.watch.borrow_mut().as_mut() {
+            self.spent.set(self.spent.get() + Duration::from_secs_f64((self.clock.now() - now).max(0.0)));
+            watch.heed(now, &events, &actions);
+        }
         for action in actions {
             let (request, choice) = match action {
                 Action::Send { request, node, abandon_at } => {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,9 +13,10 @@
 use crate::front::http::HttpFront;
 use crate::front::ops::OpsFront;
 use crate::handover::{Handover, Shared};
+use crate::levels::Levels;
 use crate::memory::Memory;
 use crate::node::Nodes;
-use crate::ops::Ops;
+use crate::ops::{Ops, OpsError};
 use crate::phases::{Phase, Phases};
 use crate::plugin::{Plugin, PluginError};
 use std::io;
@@ -63,6 +64,9 @@
     /// The plug-in can't be used.
     #[error(transparent)]
     Plugin(#[from] PluginError),
+    /// The operators' file can't be used.
+    #[error(transparent)]
+    Ops(#[from] OpsError),
     /// Settings that can't be served.
     #[error(transparent)]
     Settings(#[from] crate::api::SettingsError),
@@ -99,13 +103,22 @@
     budget: Rc<Budget>,
     memory: Rc<Memory>,
     counters: Rc<Counters>,
+    ops: Ops,
+    levels: Rc<Levels>,
+    directory: Rc<Directory>,
 }
 
 impl Running {
-    /// Reads the file again. One that can't be read changes nothing.
+    /// Reads the files again. If one of them can't be used, nothing of either changes.
     fn reload(&self) {
-        let config = match Config::load(&self.path) {
-            Ok(config) => config,
+        let config = Config::load(&self.path);
+        let ops = self.ops.path().map_or(Ok(Ops::default()), Ops::load);
+        let read = config.map_err(|problem| problem.to_string()).and_then(|config| {
+            let levels = ops.and_then(|ops| Ok((ops.levels(&config.notes)?, ops)));
+            levels.map_err(|problem| problem.to_string()).map(|(levels, ops)| (config, ops, levels))
+        });
+        let (config, ops, levels) = match read {
+            Ok(read) => read,
             Err(problem) => {
                 self.counters.reloads_failed.add();
                 return log::error!("daemon: reload: {problem}; the running settings stay");
@@ -116,12 +129,17 @@
             ("name", config.name != self.name),
             ("listen", config.listen != self.listen),
             ("settings", config.settings != self.settings),
+            ("the operators' file, but for its levels,", ops.restarts(&self.ops)),
         ];
         for (part, _) in fixed.iter().filter(|(_, changed)| *changed) {
             log::warn!("daemon: reload: {part} changed, which takes a restart");
         }
         self.budget.set_limit(config.limits.descriptors());
         self.memory.set_limit(config.limits.memory_mb);
+        if self.levels.configure(levels) {
+            // A watch that begins now has heard of no node.
+            self.directory.bans_changed();
+        }
         log::info!("daemon: reloaded, discovery at {}", config.discovery);
         self.discovery.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
     }
@@ -159,6 +177,7 @@
         let Signals { mut terminate, mut interrupt, mut reread, mut ask } = signals;
         let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let (settings, notes) = (config.settings, config.notes);
+        let level_settings = ops.levels(&notes)?;
         let block = block.map(|path| Target::load(&path, &settings, &notes)).transpose()?;
         let dispatcher = Dispatcher::new(settings.clone(), config.seed, Clock::start(), counters.clone())?;
         let budget = Budget::new(config.limits.descriptors(), counters.clone());
@@ -182,6 +201,14 @@
             zones,
             (settings.hosts, config.seed),
         );
+        let levels = Levels::new(
+            dispatcher.clone(),
+            budget.clone(),
+            memory.clone(),
+            phases.clone(),
+            settings.clone(),
+            (folder.as_deref(), &config.name),
+        );
         let shared = Shared {
             dispatcher: dispatcher.clone(),
             budget: budget.clone(),
@@ -189,16 +216,24 @@
             phases: phases.clone(),
             bans,
             directory: directory.clone(),
+            levels: levels.clone(),
         };
         let handover = Handover::new(folder.as_deref(), &config.name, shared);
         if let Some(address) = config.ops {
             let listener = listen(address, "ops", None, false)?;
-            let door = OpsFront::new(phases.clone(), counters.clone(), directory.clone(), handover.clone());
+            let door = OpsFront::new(
+                phases.clone(),
+                counters.clone(),
+                directory.clone(),
+                handover.clone(),
+                levels.clone(),
+            );
             spawn_local(door.listen(listener));
         }
         let mut inherited = handover.succeed().await.into_iter();
         // An heir serves once it is ready; until then the older process does.
         phases.accept(inherited.len() == 0);
+        levels.configure(level_settings);
         let listener = Rc::new(listen(config.listen, "http", inherited.next(), handover.possible())?);
         let mut sockets = vec![listener.clone()];
         if let Some(target) = block {
@@ -210,14 +245,14 @@
             spawn_local(front.listen(listener));
         }
 
-        if let Some(to) = ops.graphite {
+        if let Some(to) = ops.graphite.clone() {
             spawn_local(export::to_graphite(to, counters.clone()));
         }
-        if let Some(to) = ops.collectd {
+        if let Some(to) = ops.collectd.clone() {
             spawn_local(export::to_collectd(to, counters.clone()));
         }
-        if let Some(config) = ops.plugin {
-            dispatcher.observe(Rc::new(Plugin::load(&config, counters.clone())?));
+        if let Some(config) = &ops.plugin {
+            dispatcher.observe(Rc::new(Plugin::load(config, counters.clone())?));
         }
         let (source, discovery) = watch::channel(config.discovery);
         let running = Running {
@@ -229,6 +264,9 @@
             budget: budget.clone(),
             memory: memory.clone(),
             counters: counters.clone(),
+            ops,
+            levels: levels.clone(),
+            directory: directory.clone(),
         };
         let front = Rc::new(HttpFront {
             dispatcher: dispatcher.clone(),
@@ -240,6 +278,7 @@
             counters: counters.clone(),
         });
         let keep_time = spawn_local(async move { dispatcher.keep_time().await });
+        let look = spawn_local(async move { levels.keep().await });
         let sweep = spawn_local(async move { nodes.sweep().await });
         let serve = {
             let (handover, phases) = (handover.clone(), phases.clone());
@@ -265,6 +304,7 @@
             () = told => {}
             // None of these ends unless it panics; a head without them would only look alive.
             _ = keep_time => return Err(DaemonError::Broken("the clock")),
+            _ = look => return Err(DaemonError::Broken("the levels")),
             _ = sweep => return Err(DaemonError::Broken("the pools")),
             _ = list => return Err(DaemonError::Broken("the node list")),
         }
--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -86,6 +86,11 @@
         ((self.limit.get() as f64 * self.part.get()) as usize).saturating_sub(KEPT).max(8)
     }
 
+    /// The part of the descriptors that is in use.
+    pub fn used(&self) -> f64 {
+        self.open.get() as f64 / self.limit() as f64
+    }
+
     /// A slot for a connection about to be opened or just accepted. When all are taken, another connection
     /// is told to close; `None` if there is none to close, or if a client has to wait until it has.
     pub fn slot(self: &Rc<Self>, side: Side) -> Option<Slot> {
--- a/src/export.rs
+++ b/src/export.rs
@@ -32,7 +32,7 @@
 }
 
 /// Where Graphite listens.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Graphite {
     /// The address of its plaintext port.
@@ -44,7 +44,7 @@
 }
 
 /// Where collectd listens.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Collectd {
     /// The socket of its unixsock plugin.
--- a/src/front/ops.rs
+++ b/src/front/ops.rs
@@ -7,6 +7,7 @@
 use crate::descriptors::FOR_OPERATORS;
 use crate::discovery::Directory;
 use crate::handover::Handover;
+use crate::levels::{Hold, Levels};
 use crate::phases::{Phase, Phases};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,7 +18,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,6 +40,7 @@
     counters: Rc<Counters>,
     directory: Rc<Directory>,
     handover: Rc<Handover>,
+    levels: Rc<Levels>,
     /// Connections without a whole call, the oldest first.
     waiting: RefCell<VecDeque<Rc<Notify>>>,
     free: Arc<Semaphore>,
@@ -51,9 +53,11 @@
         counters: Rc<Counters>,
         directory: Rc<Directory>,
         handover: Rc<Handover>,
+        levels: Rc<Levels>,
     ) -> Rc<OpsFront> {
         let free = Arc::new(Semaphore::new(FOR_OPERATORS));
-        Rc::new(OpsFront { phases, counters, directory, handover, waiting: RefCell::default(), free })
+        let waiting = RefCell::default();
+        Rc::new(OpsFront { phases, counters, directory, handover, levels, waiting, free })
     }
 
     /// Accepts callers for as long as it is polled.
@@ -103,8 +107,9 @@
 
     fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         let (method, wanted) = match request.uri().path() {
-            "/ops/readiness" | "/ops/stats" => (request.method(), Method::GET),
+            "/ops/readiness" | "/ops/stats" | "/ops/levels" => (request.method(), Method::GET),
             "/ops/bricks/down" | "/ops/bricks/up" => (request.method(), Method::PUT),
+            "/ops/levels/pin" | "/ops/levels/release" => (request.method(), Method::PUT),
             _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
         };
         if *method != wanted {
@@ -121,6 +126,13 @@
                 text(status, format!("{phase:?}\n"))
             }
             "/ops/stats" => text(StatusCode::OK, self.counters.exposition(&self.directory.gauges())),
+            "/ops/levels" => match self.levels.status() {
+                Some(status) => json(status),
+                None => levels_off(),
+            },
+            path @ ("/ops/levels/pin" | "/ops/levels/release") => {
+                self.hold_level(path == "/ops/levels/pin", request.uri().query().unwrap_or_default())
+            }
             path => {
                 let query = request.uri().query().unwrap_or_default();
                 let mut named = form_urlencoded::parse(query.as_bytes()).filter(|(name, _)| name == "host");
@@ -144,6 +156,46 @@
     }
 }
 
+impl OpsFront {
+    /// Pins a level or releases it, as the query says.
+    fn hold_level(&self, pin: bool, query: &str) -> Response<Full<Bytes>> {
+        let wanted: &[&str] =
+            if pin { &["scope", "level", "seconds", "who", "why"] } else { &["scope", "who", "why"] };
+        let mut named = BTreeMap::new();
+        for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+            if !wanted.contains(&&*name) || named.insert(name.to_string(), value.to_string()).is_some() {
+                let problem = format!("{name}: unknown, or there twice; wanted are {}\n", wanted.join(", "));
+                return text(StatusCode::BAD_REQUEST, problem);
+            }
+        }
+        let mut take = |name: &str| named.remove(name).unwrap_or_default();
+        let (scope, who, why) = (take("scope"), take("who"), take("why"));
+        let done = match (pin, take("level"), take("seconds").parse()) {
+            (false, ..) => self.levels.release(&scope, &who, &why),
+            (true, level, Ok(seconds)) => self.levels.pin(&Hold { scope, level, seconds, who, why }),
+            (true, ..) => return text(StatusCode::BAD_REQUEST, "seconds: a number is wanted\n"),
+        };
+        match done {
+            None => levels_off(),
+            Some(Err(problem)) => text(StatusCode::BAD_REQUEST, format!("{problem}\n")),
+            Some(Ok(change)) => {
+                self.handover.pins_changed();
+                text(StatusCode::OK, format!("{change}\n"))
+            }
+        }
+    }
+}
+
+fn levels_off() -> Response<Full<Bytes>> {
+    text(StatusCode::NOT_FOUND, "levels are off: the operators' file has no [levels]\n")
+}
+
+fn json(body: String) -> Response<Full<Bytes>> {
+    let mut response = text(StatusCode::OK, body);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -11,6 +11,7 @@
 use crate::core::Dispatcher;
 use crate::descriptors::Budget;
 use crate::discovery::Directory;
+use crate::levels::Levels;
 use crate::memory::Memory;
 use crate::phases::Phases;
 use rustix::net::{
@@ -40,6 +41,7 @@
 const HERE: &[u8] = b"here\n";
 const READY: &[u8] = b"ready\n";
 const BANS: &[u8] = b"bans\n";
+const PINS: &[u8] = b"pins\n";
 const LONGEST_WORD: usize = 64;
 
 /// Which processes of this head live beside this one.
@@ -74,6 +76,8 @@
     pub bans: Rc<Bans>,
     /// The list that they apply to.
     pub directory: Rc<Directory>,
+    /// The levels of reduced service, for their pins.
+    pub levels: Rc<Levels>,
 }
 
 /// The link to the other processes of this head.
@@ -158,6 +162,11 @@
         self.tell(BANS);
     }
 
+    /// Has the other processes read again which levels operators hold.
+    pub fn pins_changed(&self) {
+        self.tell(PINS);
+    }
+
     /// Waits until a newer process accepts in this one's place.
     pub async fn yielded(&self) {
         // The sender lives in `self`, so the wait can't fail.
@@ -236,6 +245,7 @@
                         self.shared.bans.reload();
                         self.shared.directory.bans_changed();
                     }
+                    PINS => self.shared.levels.pins_changed(),
                     _ => log::debug!("handover: a word without a meaning"),
                 }
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod export;
 pub mod front;
 pub mod handover;
+pub mod levels;
 mod logic;
 pub mod memory;
 pub mod node;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -89,6 +89,11 @@
         self.part.set(part);
     }
 
+    /// The part of it that is in use.
+    pub fn used(&self) -> f64 {
+        self.held.load(Ordering::Relaxed) as f64 / (self.limit.get() as f64 * self.part.get()).max(1.0)
+    }
+
     /// Gathers a body: all of it, or as much as there is memory for, or a bit more than `most`, or what has
     /// come by a moment if it is so much at least. What is not gathered stays in the body.
     pub async fn gather<B: Body<Data = Bytes> + Unpin>(
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -1,19 +1,26 @@
-//! The operations file: where figures go, and which script watches. Everything in it is off by default.
+//! The operators' file: where figures go, which script watches, and the levels of reduced service. Everything in it
+//! is off by default.
 
+use crate::config::WireNotes;
 use crate::export::{Collectd, Graphite};
 use crate::plugin::PluginConfig;
+use flaxgap_levels::settings::LevelsFile;
+use flaxgap_levels::{Names, Settings, SettingsError};
 use serde::Deserialize;
 use thiserror::Error;
 
-/// An operations file that can't be used.
+/// An operators' file that can't be used.
 #[derive(Debug, Error)]
 pub enum OpsError {
     /// The file can't be read.
     #[error("{0}: {1}")]
     Unreadable(String, std::io::Error),
     /// It is no TOML of the form expected.
-    #[error("operations file: {0}")]
-    Malformed(#[from] toml::de::Error),
+    #[error("operations file {0}: {1}")]
+    Malformed(String, toml::de::Error),
+    /// Its levels contradict themselves.
+    #[error("operations file {0}: {1}")]
+    Levels(String, SettingsError),
 }
 
 /// What the file may hold.
@@ -26,12 +33,43 @@
     pub collectd: Option<Collectd>,
     /// A script that observes.
     pub plugin: Option<PluginConfig>,
+    /// Levels of reduced service.
+    levels: Option<LevelsFile>,
+    /// Where the file is, and its text.
+    #[serde(skip)]
+    source: (String, String),
 }
 
 impl Ops {
     /// Reads the file.
     pub fn load(path: &str) -> Result<Ops, OpsError> {
         let text = std::fs::read_to_string(path).map_err(|e| OpsError::Unreadable(path.into(), e))?;
-        Ok(toml::from_str(&text)?)
+        let mut ops: Ops = toml::from_str(&text).map_err(|e| OpsError::Malformed(path.into(), e))?;
+        ops.source = (path.into(), text);
+        Ok(ops)
+    }
+
+    /// Where the file is; none where there is no file.
+    pub fn path(&self) -> Option<&str> {
+        Some(self.source.0.as_str()).filter(|path| !path.is_empty())
+    }
+
+    /// The levels that it settles, checked against the classes, plans and zones of the installation; none where
+    /// they are off.
+    pub fn levels(&self, notes: &WireNotes) -> Result<Option<Settings>, OpsError> {
+        let (path, text) = &self.source;
+        let Some(file) = &self.levels else { return Ok(None) };
+        let names = Names {
+            classes: notes.class_names.clone(),
+            plans: notes.plan_names.clone(),
+            halls: notes.zone_names.clone(),
+        };
+        let settings = Settings::check(file, text, &names, &notes.class_writes);
+        settings.map(Some).map_err(|problem| OpsError::Levels(path.clone(), problem))
+    }
+
+    /// Whether anything but the levels differs.
+    pub fn restarts(&self, other: &Ops) -> bool {
+        (&self.graphite, &self.collectd, &self.plugin) != (&other.graphite, &other.collectd, &other.plugin)
     }
 }
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -30,7 +30,7 @@
 }
 
 /// Which script, and its bounds.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PluginConfig {
     /// The script's file.
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -76,9 +76,9 @@
     /// A watch over a head with these settings of the module.
     pub fn new(governor: Governor, settings: &Settings, now: f64) -> Watch {
         let s = governor.settings();
-        let (silent_after, stale, span) = (s.silent_after, s.stale, s.span);
+        let (silent_after, recent, span) = (s.silent_after, s.recent, s.span);
         Watch {
-            silence: Silence::new(silent_after, stale),
+            silence: Silence::new(silent_after, recent),
             attempts: Sliding::new(span, span / STEPS),
             governor,
             aims: settings.classes.iter().map(|class| class.aim).collect(),
@@ -209,15 +209,30 @@
             self.governor.read(Scope::Head, Signal::ReportLag, lag, if asked { now } else { at });
         }
         let changes = self.governor.decide(now);
+        Looked { changes, level: self.moved(now) }
+    }
+
+    /// What the module has to be told, if it has not heard of it yet.
+    pub fn moved(&mut self, now: f64) -> Option<Level> {
         let level = level(self.governor.effect(now));
         let moved = level.pass != self.told.pass
             || level.zones != self.told.zones
             || level.reduces() && (level.until - self.told.until).abs() > UNTIL_MOVES;
-        let level = moved.then(|| {
+        moved.then(|| {
             self.told = level.clone();
             level
-        });
-        Looked { changes, level }
+        })
+    }
+
+    /// Other settings hold from now on; levels go on under them where they have the same name.
+    pub fn configure(&mut self, settings: flaxgap_levels::Settings, now: f64) -> Vec<Change> {
+        let (span, recent, silent_after) = (settings.span, settings.recent, settings.silent_after);
+        let changes = self.governor.configure(settings, now);
+        (self.sums, self.attempts) = (BTreeMap::new(), Sliding::new(span, span / STEPS));
+        self.silence = Silence::new(silent_after, recent);
+        self.nodes.iter().for_each(|(node, zone)| self.silence.listed(node.0, zone.0));
+        self.out.clear();
+        changes
     }
 
     /// The aims of reserved work: of each hall, and over all that no hall's own level accounts for.
--- /dev/null
+++ b/tests/levels_module.rs
@@ -0,0 +1,160 @@
+//! What the module lets pass at a level of reduced service, and what it answers.
+
+mod common;
+use common::*;
+use flaxgap::api::*;
+
+fn level(pass: Pass, until: f64) -> Event {
+    Event::Level(Level { pass: vec![vec![pass; 2]; 3], zones: vec![], until })
+}
+
+/// A request of the plan with a reserve of 2 units a second, 10 at once.
+fn of(id: u32, volume: u64) -> Request {
+    Request { volume: VolumeId(volume), ..request(id, SAFE) }
+}
+
+/// Fills the node's window with other volumes' work, so that what comes next has to wait.
+fn busy(rig: &mut Rig) {
+    let other = Request { units: 0.1, ..request(0, SAFE) };
+    let events = (900..904).map(|id| {
+        Event::Request(Request { id: RequestId(id), volume: VolumeId(u64::from(id)), ..other.clone() })
+    });
+    assert_eq!(sent(&rig.tell(events.collect())).len(), 4);
+}
+
+fn waits(actions: &[Action]) -> Vec<f64> {
+    actions
+        .iter()
+        .filter_map(|a| if let Action::Refuse { wait, .. } = a { Some(*wait) } else { None })
+        .collect()
+}
+
+/// Guards against a level that eats into a reserve: what is inside it goes on, what is past it is refused at once
+/// and is told when the level may end.
+#[test]
+fn past_the_reserve_is_refused_at_once_and_the_reserve_goes_on() {
+    let mut rig = Rig::new(settings());
+    busy(&mut rig);
+    rig.tell(vec![level(Pass::Reserve, rig.now + 7.0)]);
+    let actions = rig.tell((1..=9).map(|id| Event::Request(of(id, 1))).collect());
+    assert_eq!(refused(&actions), [6, 7, 8, 9], "five of 2 units are in the store of 10");
+    assert!(waits(&actions).iter().all(|wait| (*wait - 7.0).abs() < 0.01), "the honest wait");
+    assert_eq!(rig.scheduler.withheld(), 4);
+    assert!(refused(&rig.ask(of(20, 2))).is_empty(), "another volume's reserve is its own");
+}
+
+#[test]
+fn a_level_for_one_class_or_plan_leaves_the_others_alone() {
+    let mut rig = Rig::new(settings());
+    busy(&mut rig);
+    let mut pass = vec![vec![Pass::All; 2]; 3];
+    pass[KEYED.0][LIMITED.0] = Pass::Reserve;
+    rig.tell(vec![Event::Level(Level { pass, zones: vec![], until: 0.0 })]);
+    let limited =
+        |id, class| Request { plan: LIMITED, volume: VolumeId(u64::from(id)), ..request(id, class) };
+    let burst: Vec<Event> = (1..=6)
+        .map(|id| Event::Request(Request { units: 8.0, ..limited(7, KEYED) }))
+        .enumerate()
+        .map(|(n, e)| match e {
+            Event::Request(r) => Event::Request(Request { id: RequestId(n as u32 + 1), ..r }),
+            e => e,
+        })
+        .collect();
+    assert_eq!(refused(&rig.tell(burst)).len(), 5, "saves of the limited plan past 8 units");
+    assert!(refused(&rig.ask(limited(31, SAFE))).is_empty());
+    assert!(refused(&rig.ask(of(32, 3))).is_empty());
+}
+
+/// Guards against a surge that is shed on others: at `Share` a volume's part of the pace is its own.
+#[test]
+fn the_surge_of_one_volume_is_shed_and_the_others_are_not() {
+    let mut rig = Rig::new(settings());
+    for id in 500..540 {
+        rig.ask(Request { units: 0.1, ..of(id, 77) });
+        rig.now += 0.04;
+        rig.outcome(id, 0, Outcome::Ok, 0.04);
+    }
+    busy(&mut rig);
+    rig.tell(vec![level(Pass::Share, 0.0)]);
+    let surge = (1..=60).map(|id| Event::Request(of(id, 1)));
+    let others =
+        (100..104).flat_map(|id| (0..3).map(move |n| Event::Request(of(id + 10 * n, u64::from(id)))));
+    let shed = refused(&rig.tell(surge.chain(others).collect()));
+    assert!(shed.len() > 20 && shed.iter().all(|id| *id <= 60), "{shed:?}");
+    assert!(!shed.contains(&1), "its own part goes on");
+}
+
+/// Guards against sending on into a hall that is cut off, and against never finding out that it is back.
+#[test]
+fn at_a_cut_hall_one_request_at_a_time_tries_the_way_and_the_rest_is_refused() {
+    let mut cut = node(11, 1);
+    cut.zone = ZoneId(1);
+    let mut rig = Rig::with_nodes(settings(), vec![node(N.0, 0), cut]);
+    let zones = vec![(ZoneId(1), vec![vec![Pass::Nothing; 2]; 3])];
+    rig.tell(vec![Event::Level(Level { pass: vec![], zones, until: rig.now + 2.0 })]);
+    let there = |id| Request { shard: Some(ShardId(1)), ..of(id, u64::from(id)) };
+    let actions = rig.tell((1..=5).map(|id| Event::Request(there(id))).collect());
+    assert_eq!((sent(&actions), refused(&actions)), (vec![1], vec![2, 3, 4, 5]));
+    let Some(Action::Send { abandon_at, .. }) = actions.iter().find(|a| matches!(a, Action::Send { .. }))
+    else {
+        panic!("sent")
+    };
+    assert!(
+        (*abandon_at - rig.now - 0.4).abs() < 0.01,
+        "two of the tightest aim, not its client's whole time"
+    );
+    let new = |id| Request { shard: None, ..of(id, u64::from(id)) };
+    for id in 20..40 {
+        let actions = rig.ask(new(id));
+        assert!(actions.iter().all(|a| !matches!(a, Action::Send { node, .. } if *node == NodeId(11))));
+        rig.now += 0.01;
+        rig.outcome(id, 0, Outcome::Ok, 0.01);
+    }
+    rig.now += 0.1;
+    rig.outcome(1, 0, Outcome::Ok, 0.3);
+    assert_eq!(sent(&rig.ask(there(6))), [6], "the next one");
+    rig.tell(vec![Event::Level(Level::default())]);
+    assert_eq!(sent(&rig.ask(there(7))), [7], "and all of them once the level is left");
+}
+
+/// Guards against a head that starves a volume: one head of five refuses all past the reserve, four do not, and the
+/// reserve is served over all of them together.
+#[test]
+fn one_head_of_five_at_a_level_leaves_every_reserve_whole() {
+    let mut set = settings();
+    set.hosts = 5;
+    let served = |reduced: usize| {
+        let mut units = 0.0;
+        for head in 0..5 {
+            let mut rig = Rig::new(set.clone());
+            if head < reduced {
+                rig.tell(vec![level(Pass::Reserve, 0.0)]);
+            }
+            let mut id = 0;
+            // Ten seconds of 2 units a second over all heads, what the volume has reserved, and a neighbour's surge.
+            for tick in 0..1000 {
+                rig.now += 0.01;
+                let mut events = Vec::new();
+                if tick % 500 == 100 * head {
+                    id += 1;
+                    events.push(Event::Request(Request { hosts: 5, ..of(id, 1) }));
+                }
+                events.push(Event::Request(Request {
+                    hosts: 5,
+                    id: RequestId(10_000 + tick as u32),
+                    ..of(0, 9)
+                }));
+                let mut out = rig.tell(events);
+                rig.now += 0.001;
+                while !out.is_empty() {
+                    let now: Vec<u32> = sent(&out);
+                    units += 2.0 * now.iter().filter(|id| **id < 10_000).count() as f64;
+                    out = now.iter().flat_map(|id| rig.outcome(*id, 0, Outcome::Ok, 0.02)).collect();
+                }
+            }
+        }
+        units
+    };
+    let whole = served(0);
+    assert_eq!((whole, served(1), served(5)), (20.0, whole, whole));
+}
