--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod fleet;
+pub mod levels;
 pub mod load;
 pub mod measure;
 pub mod node;
--- a/crates/levels/src/estimate.rs
+++ b/crates/levels/src/estimate.rs
@@ -27,8 +27,8 @@
         }
     }
 
-    /// The first sum's part of the second; none where the second is under `least`.
-    pub fn ratio(&mut self, now: f64, least: f64) -> Option<f64> {
+    /// Both sums over the span.
+    pub fn sums(&mut self, now: f64) -> (f64, f64) {
         while let Some((_, counted, of)) = self.parts.front().filter(|(at, ..)| now - at > self.span) {
             self.sums = (self.sums.0 - counted, self.sums.1 - of);
             self.parts.pop_front();
@@ -37,7 +37,13 @@
             // Rounding does not add up over days.
             self.sums = (0.0, 0.0);
         }
-        (self.sums.1 >= least && self.sums.1 > 0.0).then(|| self.sums.0 / self.sums.1)
+        self.sums
+    }
+
+    /// The first sum's part of the second; none where the second is under `least`.
+    pub fn ratio(&mut self, now: f64, least: f64) -> Option<f64> {
+        let (counted, of) = self.sums(now);
+        (of >= least && of > 0.0).then(|| counted / of)
     }
 }
 
--- a/crates/levels/src/governor.rs
+++ b/crates/levels/src/governor.rs
@@ -256,6 +256,10 @@
             if left > 0.0 {
                 ends.push(format!("{left:.1} s of the {settled:.0} s that it lasts at least are to go"));
             }
+            if ladder.lingers() {
+                let more = ladder.soonest(now) - now;
+                ends.push(format!("room among the changes allowed, to come back if need be: in {more:.0} s"));
+            }
             for condition in &rung.leave {
                 let side = if condition.signal.low_is_bad() { "or above" } else { "or below" };
                 let (name, now) = (&condition.name, state(condition.signal));
--- a/crates/levels/src/ladder.rs
+++ b/crates/levels/src/ladder.rs
@@ -1,6 +1,7 @@
 //! One scope's level. It is entered by evidence over a window, stays for its dwell at least, and is left one step at
 //! a time; a step that brings the pressure back doubles the next dwell. Changes are bounded: a level is entered only
-//! where the steps down from it still fit the bound, so none is held longer for the bound's sake.
+//! where the steps down from it still fit the bound, and the last step down waits while the bound leaves no room to
+//! come back: the mildest level costs little while nothing presses, and a head that may not return to it costs more.
 //!
 //! Invariant, pins apart: `changes counted in the span + the present rung <= the bound`.
 
@@ -139,7 +140,9 @@
                 let ready =
                     self.exits[self.at - 1].part(now).is_some_and(|part| part >= self.settings.evidence);
                 let evidence = if ready { 0.0 } else { self.settings.window };
-                (self.since + self.dwell()).max(now + evidence)
+                let oldest = self.recent.front().filter(|_| self.lingers());
+                let room = oldest.map_or(now, |at| at + self.settings.changes_span);
+                (self.since + self.dwell()).max(now + evidence).max(room)
             }
         }
     }
@@ -181,10 +184,19 @@
             }
             Why::Blind { seconds: now - known_at }
         };
+        // Without a word there is no telling that the mildest level costs little.
+        if self.lingers() && !matches!(why, Why::Blind { .. }) {
+            return None;
+        }
         self.stepped = Some((now, self.at));
         Some(self.go(now, self.at - 1, why, true))
     }
 
+    /// Whether the last step down waits, since after it the bound would leave no room for an entry and its end.
+    pub fn lingers(&self) -> bool {
+        self.at == 1 && self.pin.is_none() && self.recent.len() + 3 > self.settings.changes
+    }
+
     /// The highest rung above whose conditions have held, from which the steps down fit the bound.
     fn entry(&self, now: f64) -> Option<(usize, f64)> {
         let fits = |rung: &usize| self.recent.len() + 1 + rung <= self.settings.changes;
--- a/crates/levels/src/settings.rs
+++ b/crates/levels/src/settings.rs
@@ -224,8 +224,8 @@
 const DEFAULT_HALL: &str = r#"
 [[level]]
 name = "hall-returning"
-lets = [{ pass = "reserve" }]
-leave = { nodes_lost = 0.2 }
+lets = [{ pass = "share" }]
+leave = { nodes_lost = 0.2, aims = 0.9 }
 dwell_s = 6.0
 
 [[level]]
--- a/src/api.rs
+++ b/src/api.rs
@@ -350,6 +350,12 @@
         zones.chain(of(&self.pass)).max().unwrap_or_default()
     }
 
+    /// Whether nothing passes at the nodes of a zone.
+    pub fn cut(&self, zone: Option<ZoneId>) -> bool {
+        let nothing = |table: &Vec<Vec<Pass>>| table.iter().flatten().all(|pass| *pass == Pass::Nothing);
+        self.zones.iter().any(|(z, table)| Some(*z) == zone && nothing(table))
+    }
+
     /// Whether it holds anything back.
     pub fn reduces(&self) -> bool {
         let all = |table: &Vec<Vec<Pass>>| table.iter().flatten().all(|pass| *pass == Pass::All);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -272,6 +272,7 @@
     blocked_until: f64,
     weather: Weather,
     level: Level,
+    level_since: f64,
     kept: BTreeMap<(Option<ZoneId>, ClassId), Kept>,
     withheld: u64,
 }
@@ -306,6 +307,7 @@
             blocked_until: f64::INFINITY,
             weather: Weather { fade: FADES * tightest, ..Weather::default() },
             level: Level::default(),
+            level_since: now,
             kept: BTreeMap::new(),
             withheld: 0,
             set: settings,
@@ -364,7 +366,11 @@
             }
             Event::Probed { .. } => {}
             Event::WakeUp => self.wake_at = f64::INFINITY,
-            Event::Level(level) => self.level = level.clone(),
+            Event::Level(level) => {
+                let same = self.level.zones == level.zones;
+                self.level_since = if same { self.level_since } else { self.now };
+                self.level = level.clone();
+            }
             Event::Share { part } => {
                 (self.part, self.started) = ((*part, 0.0), self.now);
                 self.volumes.values_mut().for_each(|volume| volume.at = self.now);
@@ -480,12 +486,7 @@
         let queued: usize = lane.queues.iter().map(Vec::len).sum();
         let work = 1.0 + queued as f64 / lane.window + lane.out.len() as f64 / lane.window;
         let cold = if self.cold_rate(lane).is_some() { 4.0 } else { 1.0 };
-        let zone = lane.target.as_ref().map(|t| t.zone);
-        let cut = self
-            .level
-            .zones
-            .iter()
-            .any(|(z, p)| Some(*z) == zone && p.iter().flatten().all(|pass| *pass == Pass::Nothing));
+        let cut = self.level.cut(lane.target.as_ref().map(|t| t.zone));
         let down = if lane.failures > 0 || cut { 100.0 } else { 1.0 };
         work * lane.latency_now(self.now, self.weather).max(1e-3) * cold * down
     }
@@ -549,10 +550,13 @@
         }
     }
 
-    /// What the level in force lets pass of a request's kind.
-    fn pass(&self, held: &Held) -> Pass {
-        let zone = self.lanes.get(&held.lane).and_then(|lane| Some(lane.target.as_ref()?.zone));
-        self.level.pass(held.ask.class, held.ask.plan, zone)
+    /// What the level in force lets pass of a request's kind at a lane. One behind a cut way is open again, but for
+    /// spare work, once its node has answered since and answers still.
+    fn lets(&self, ask: &Request, lane: &Lane) -> Pass {
+        let pass = self.level.pass(ask.class, ask.plan, lane.target.as_ref().map(|t| t.zone));
+        let silent = lane.out.first().is_some_and(|o| self.now - o.at > self.tightest);
+        let back = lane.heard >= self.level_since && lane.failures == 0 && !silent;
+        if pass == Pass::Nothing && back { Pass::Share } else { pass }
     }
 
     /// Answers at once what the level in force does not let wait: of each volume, oldest first, what its reserve
@@ -567,12 +571,12 @@
         }
         let mut ahead: BTreeMap<(Option<ShardId>, VolumeId), f64> = BTreeMap::new();
         for id in queued {
-            let pass = self.pass(&self.held[&id]);
             let (ask, shard) = (self.held[&id].ask.clone(), self.held[&id].lane);
             let reserve = self.set.plans.get(ask.plan.0).map_or(0.0, |p| p.reserve);
             let store =
                 self.refill(ask.volume, ask.plan).map_or((ask.units, 1.0), |(v, _)| (v.reserve, v.hosts));
             let lane = &self.lanes[&shard];
+            let pass = self.lets(&ask, lane);
             let left = self.held[&id].aim_at - lane.latency[ask.class.0] - now;
             let covered = store.0 + left.max(0.0) * reserve / store.1.sqrt();
             let before = ahead.get(&(None, ask.volume)).copied().unwrap_or(0.0);
@@ -601,7 +605,7 @@
         let lane = &self.lanes[&self.held[&id].lane];
         let node = (lane.closed_until - self.now).max(lane.latency_now(self.now, self.weather));
         let node = if lane.target.is_some() { node } else { BACKOFF.1 };
-        let level = match self.pass(&self.held[&id]) {
+        let level = match self.lets(&self.held[&id].ask, lane) {
             Pass::All | Pass::Share => 0.0,
             Pass::Reserve | Pass::Nothing => self.level.until - self.now,
         };
@@ -851,8 +855,7 @@
             false => (SHARED, tag),
         };
         // A level lets what it does not reserve go only to a node that this host has nothing out at.
-        let (idle, pass) =
-            (lane.out.is_empty(), self.level.pass(held.ask.class, held.ask.plan, Some(target.zone)));
+        let (idle, pass) = (lane.out.is_empty(), self.lets(&held.ask, lane));
         if pass == Pass::Nothing && !idle
             || pass == Pass::Reserve && standing.0 != RESERVED && !(idle && latency < 1.0)
         {
@@ -883,6 +886,9 @@
     fn send(&mut self, shard: ShardId, picked: Picked, actions: &mut Vec<Action>) {
         let (band, _, _, class, place) = picked;
         let (now, weight) = (self.now, self.classes[class].weight);
+        let next =
+            self.lanes.get(&shard).and_then(|l| Some((l, self.held.get(l.queues[class].get(place)?)?)));
+        let tries = next.is_some_and(|(lane, held)| self.lets(&held.ask, lane) == Pass::Nothing);
         let Some(lane) = self.lanes.get_mut(&shard) else { return };
         let Some(target) = lane.target.clone() else { return };
         let id = lane.queues[class].remove(place);
@@ -904,9 +910,7 @@
         held.queued = false;
         held.attempts.push(Attempt { shard, zone: target.zone, epoch: lane.epoch, at: now, outcome: None });
         // What only shows whether the way is open need not wait out its client's time.
-        let pass = self.level.pass(held.ask.class, held.ask.plan, Some(target.zone));
-        let most = if pass == Pass::Nothing { now + TRIAL * self.tightest } else { f64::INFINITY };
-        let abandon_at = held.deadline.min(most);
+        let abandon_at = held.deadline.min(if tries { now + TRIAL * self.tightest } else { f64::INFINITY });
         actions.push(Action::Send { request: id, node: target.node, abandon_at });
         let (volume, plan) = (held.ask.volume, held.ask.plan);
         if !first {
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -28,7 +28,7 @@
     passes: bool,
 }
 
-/// Sums of one class, of one zone or of all that count.
+/// Sums of one class and zone.
 struct Sums {
     met: Sliding,
     delay: Sliding,
@@ -66,7 +66,7 @@
     out: HashMap<RequestId, (NodeId, f64)>,
     figures: BTreeMap<VolumeId, (f64, f64)>,
     known: BTreeMap<(Option<ZoneId>, ClassId), Kept>,
-    sums: BTreeMap<(Scope, usize), Sums>,
+    sums: BTreeMap<(Option<ZoneId>, usize), Sums>,
     attempts: Sliding,
     module: (f64, f64),
     told: Level,
@@ -244,26 +244,33 @@
             if all == 0 {
                 continue;
             }
-            let hall = zone.map(|zone| Scope::Hall(zone.0));
-            let head = zone.is_none_or(|zone| !self.governor.reduced(zone.0)).then_some(Scope::Head);
-            for scope in hall.into_iter().chain(head) {
-                let sums = self.sums.entry((scope, class.0)).or_insert_with(|| Sums {
-                    met: Sliding::new(span, span / STEPS),
-                    delay: Sliding::new(span, span / STEPS),
-                });
-                sums.met.add(now, met as f64, all as f64);
-                sums.delay.add(now, delay, all as f64);
-            }
+            let sums = self.sums.entry((*zone, class.0)).or_insert_with(|| Sums {
+                met: Sliding::new(span, span / STEPS),
+                delay: Sliding::new(span, span / STEPS),
+            });
+            sums.met.add(now, met as f64, all as f64);
+            sums.delay.add(now, delay, all as f64);
         }
-        let aims = &self.aims;
-        for ((scope, class), sums) in &mut self.sums {
-            if let Some(part) = sums.met.ratio(now, least) {
-                self.governor.read(*scope, Signal::Aims(Of::Class(*class)), part, now);
+        // Of the head: met, delay and all, by class, over the halls without a level of their own at this moment.
+        let mut whole: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
+        for ((zone, class), sums) in &mut self.sums {
+            let ((met, all), (delay, _)) = (sums.met.sums(now), sums.delay.sums(now));
+            let aim = self.aims.get(*class).copied().unwrap_or(f64::INFINITY);
+            if let Some(zone) = zone.filter(|_| all >= least) {
+                let hall = Scope::Hall(zone.0);
+                self.governor.read(hall, Signal::Aims(Of::Class(*class)), met / all, now);
+                self.governor.read(hall, Signal::Delay(Of::Class(*class)), delay / all / aim, now);
             }
-            if let (Some(mean), Some(aim)) = (sums.delay.ratio(now, least), aims.get(*class)) {
-                self.governor.read(*scope, Signal::Delay(Of::Class(*class)), mean / aim, now);
+            if zone.is_none_or(|zone| !self.governor.reduced(zone.0)) {
+                let sum = whole.entry(*class).or_default();
+                *sum = (sum.0 + met, sum.1 + delay, sum.2 + all);
             }
         }
+        for (class, (met, delay, all)) in whole.into_iter().filter(|(_, sum)| sum.2 >= least) {
+            let aim = self.aims.get(class).copied().unwrap_or(f64::INFINITY);
+            self.governor.read(Scope::Head, Signal::Aims(Of::Class(class)), met / all, now);
+            self.governor.read(Scope::Head, Signal::Delay(Of::Class(class)), delay / all / aim, now);
+        }
     }
 
     fn read_load(&mut self, now: f64, gauges: Gauges) {
