Share what HTTP fronts have in common, and decide on streams in a package of their own

A second HTTP front needs the reading of fields, the pace of bodies and the wording of answers, which stood in the HTTP/1.1 front. HTTP/1.1 acts as before; its stories pass.

--- /dev/null
+++ b/crates/streams/src/frames.rs
@@ -0,0 +1,227 @@
+//! The heads of frames out of bytes as they come. It follows where frames begin and end and nothing else: what they
+//! hold is the protocol library's.
+
+use thiserror::Error;
+
+/// What a client sends before its first frame (RFC 9113, section 3.4).
+pub const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+/// Bytes of a frame's head (section 4.1).
+pub const HEAD: usize = 9;
+
+/// Frame types (section 6).
+pub mod kind {
+    /// Section 6.1.
+    pub const DATA: u8 = 0;
+    /// Section 6.2.
+    pub const HEADERS: u8 = 1;
+    /// Section 6.3.
+    pub const PRIORITY: u8 = 2;
+    /// Section 6.4.
+    pub const RST_STREAM: u8 = 3;
+    /// Section 6.5.
+    pub const SETTINGS: u8 = 4;
+    /// Section 6.6.
+    pub const PUSH_PROMISE: u8 = 5;
+    /// Section 6.7.
+    pub const PING: u8 = 6;
+    /// Section 6.8.
+    pub const GOAWAY: u8 = 7;
+    /// Section 6.9.
+    pub const WINDOW_UPDATE: u8 = 8;
+    /// Section 6.10.
+    pub const CONTINUATION: u8 = 9;
+}
+
+/// Flags (section 6); what they mean depends on the type.
+pub mod flag {
+    /// Of SETTINGS and PING.
+    pub const ACK: u8 = 0x1;
+    /// Of DATA and HEADERS.
+    pub const END_STREAM: u8 = 0x1;
+    /// Of HEADERS and CONTINUATION.
+    pub const END_HEADERS: u8 = 0x4;
+    /// Of DATA and HEADERS.
+    pub const PADDED: u8 = 0x8;
+}
+
+/// A frame's head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// Bytes that follow.
+    pub length: u32,
+    /// Its type.
+    pub kind: u8,
+    /// Its flags.
+    pub flags: u8,
+    /// Its stream; 0 for the connection.
+    pub stream: u32,
+}
+
+impl Head {
+    /// Reads one.
+    pub fn read(bytes: &[u8; HEAD]) -> Head {
+        let [a, b, c, kind, flags, s0, s1, s2, s3] = *bytes;
+        Head {
+            length: u32::from_be_bytes([0, a, b, c]),
+            kind,
+            flags,
+            // The first bit is reserved and must be ignored.
+            stream: u32::from_be_bytes([s0, s1, s2, s3]) & 0x7fff_ffff,
+        }
+    }
+
+    /// Its bytes.
+    pub fn write(&self) -> [u8; HEAD] {
+        let [_, a, b, c] = self.length.to_be_bytes();
+        let [s0, s1, s2, s3] = self.stream.to_be_bytes();
+        [a, b, c, self.kind, self.flags, s0, s1, s2, s3]
+    }
+}
+
+/// What speaks is not HTTP/2.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum NotHttp2 {
+    /// It begins as a request of HTTP/1 does.
+    #[error("HTTP/1 on the port of HTTP/2")]
+    Http1,
+    /// It begins as TLS does.
+    #[error("TLS on the port of cleartext HTTP/2")]
+    Tls,
+    /// Something else.
+    #[error("no preface of HTTP/2")]
+    Other,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    /// So many bytes of the preface have come.
+    Preface(usize),
+    /// So many bytes of a head have come.
+    Head(usize),
+    /// So many bytes of a frame are to come.
+    Payload(u32),
+    /// What came is not HTTP/2.
+    Lost,
+}
+
+/// Follows one direction of a connection, from its first byte on.
+#[derive(Clone, Debug)]
+pub struct Scanner {
+    at: At,
+    head: [u8; HEAD],
+    first: u8,
+}
+
+impl Default for Scanner {
+    fn default() -> Self {
+        Scanner { at: At::Preface(0), head: [0; HEAD], first: 0 }
+    }
+}
+
+impl Scanner {
+    /// Takes bytes in; `seen` is called with each head once it is whole. After an error nothing is followed.
+    pub fn take(&mut self, mut bytes: &[u8], mut seen: impl FnMut(Head)) -> Result<(), NotHttp2> {
+        while let Some(byte) = bytes.first() {
+            match self.at {
+                At::Lost => return Ok(()),
+                At::Preface(come) => {
+                    if come == 0 {
+                        self.first = *byte;
+                    }
+                    if PREFACE.get(come) != Some(byte) {
+                        self.at = At::Lost;
+                        return Err(match (self.first, come) {
+                            // A handshake record begins with 22.
+                            (22, _) => NotHttp2::Tls,
+                            (first, come) if first.is_ascii_uppercase() && come < 16 => NotHttp2::Http1,
+                            _ => NotHttp2::Other,
+                        });
+                    }
+                    self.at = if come + 1 == PREFACE.len() { At::Head(0) } else { At::Preface(come + 1) };
+                    bytes = &bytes[1..];
+                }
+                At::Head(come) => {
+                    let part = bytes.len().min(HEAD - come);
+                    self.head[come..come + part].copy_from_slice(&bytes[..part]);
+                    bytes = &bytes[part..];
+                    self.at = At::Head(come + part);
+                    if come + part == HEAD {
+                        let head = Head::read(&self.head);
+                        self.at = if head.length == 0 { At::Head(0) } else { At::Payload(head.length) };
+                        seen(head);
+                    }
+                }
+                At::Payload(left) => {
+                    let part = bytes.len().min(left as usize);
+                    bytes = &bytes[part..];
+                    self.at = match left - part as u32 {
+                        0 => At::Head(0),
+                        left => At::Payload(left),
+                    };
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the whole preface has come.
+    pub fn begun(&self) -> bool {
+        !matches!(self.at, At::Preface(_) | At::Lost)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn heads(pieces: &[&[u8]]) -> Result<Vec<Head>, NotHttp2> {
+        let (mut scanner, mut all) = (Scanner::default(), Vec::new());
+        for piece in pieces {
+            scanner.take(piece, |head| all.push(head))?;
+        }
+        Ok(all)
+    }
+
+    #[test]
+    fn other_protocols_are_told_apart() {
+        assert_eq!(heads(&[b"GET / HTTP/1.1\r\n"]), Err(NotHttp2::Http1));
+        assert_eq!(heads(&[b"P", b"UT /x"]), Err(NotHttp2::Http1));
+        assert_eq!(heads(&[&[22, 3, 1]]), Err(NotHttp2::Tls));
+        assert_eq!(heads(&[b"\0\0"]), Err(NotHttp2::Other));
+        assert_eq!(heads(&[b"PRI * HTTP/2.0\r\n\r\nXX"]), Err(NotHttp2::Other));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// However the bytes are cut, the same heads are seen.
+        #[test]
+        fn frames_are_followed_however_they_are_cut(
+            frames in proptest::collection::vec((0u32..300, 0u8..12, any::<u8>(), 0u32..0x7fff_ffff), 0..20),
+            cuts in proptest::collection::vec(1usize..40, 1..60),
+        ) {
+            let wanted: Vec<Head> =
+                frames.iter().map(|(length, kind, flags, stream)| Head { length: *length, kind: *kind, flags: *flags, stream: *stream }).collect();
+            let mut bytes = PREFACE.to_vec();
+            for head in &wanted {
+                bytes.extend(head.write());
+                bytes.extend(vec![0xff; head.length as usize]);
+            }
+            let (mut pieces, mut rest, mut turn) = (Vec::new(), &bytes[..], 0);
+            while !rest.is_empty() {
+                let (piece, after) = rest.split_at(cuts[turn % cuts.len()].min(rest.len()));
+                pieces.push(piece);
+                (rest, turn) = (after, turn + 1);
+            }
+            prop_assert_eq!(heads(&pieces), Ok(wanted));
+        }
+
+        /// No bytes at all bring it down.
+        #[test]
+        fn any_bytes_are_followed_or_turned_down(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let _ = heads(&[PREFACE, &bytes]);
+            let _ = heads(&[&bytes]);
+        }
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::front::block::config::{BlockConfigError, Target};
 use crate::front::http::HttpFront;
 use crate::front::ops::OpsFront;
+use crate::front::request::Desk;
 use crate::handover::{Handover, Shared};
 use crate::levels::Levels;
 use crate::memory::Memory;
@@ -268,7 +269,7 @@
             levels: levels.clone(),
             directory: directory.clone(),
         };
-        let front = Rc::new(HttpFront {
+        let desk = Rc::new(Desk {
             dispatcher: dispatcher.clone(),
             transport: nodes.clone(),
             notes,
@@ -277,6 +278,7 @@
             memory,
             counters: counters.clone(),
         });
+        let front = Rc::new(HttpFront { desk: desk.clone() });
         let keep_time = spawn_local(async move { dispatcher.keep_time().await });
         let look = spawn_local(async move { levels.keep().await });
         let sweep = spawn_local(async move { nodes.sweep().await });
@@ -312,7 +314,7 @@
         phases.enter(Phase::Draining);
         let accepting = Instant::now() + KEEP_ACCEPTING;
         let end = accepting + crate::core::seconds(longest.min(LONGEST_GRACE));
-        front.dispatcher.finish_by(end - LAST_ANSWER);
+        desk.dispatcher.finish_by(end - LAST_ANSWER);
         let gone = async {
             sleep_until(accepting).await;
             phases.all_closed().await;
@@ -326,7 +328,7 @@
         }
         phases.close_idle();
         // What the system has accepted for us counts as taken, unless a newer process takes it.
-        while let Some(slot) = front.budget.slot(Side::Client).filter(|_| !handover.has_yielded()) {
+        while let Some(slot) = desk.budget.slot(Side::Client).filter(|_| !handover.has_yielded()) {
             let Ok(Ok((stream, _))) = timeout_at(Instant::now(), listener.accept()).await else { break };
             front.admit(stream, slot);
         }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,3 +4,4 @@
 pub mod http;
 pub mod intake;
 pub mod ops;
+pub mod request;
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -160,7 +160,12 @@
 #[test]
 fn a_connection_accepted_after_the_idle_ones_were_closed_is_still_served() {
     use flaxgap::{
-        config, core, counters::Counters, descriptors, front::http::HttpFront, memory::Memory, node::Nodes,
+        config, core,
+        counters::Counters,
+        descriptors,
+        front::{http::HttpFront, request},
+        memory::Memory,
+        node::Nodes,
         phases,
     };
     use std::rc::Rc;
@@ -171,14 +176,16 @@
         let budget = descriptors::Budget::new(100, counters.clone());
         let (phases, memory) = (Rc::new(phases::Phases::default()), Memory::new(32));
         let front = Rc::new(HttpFront {
-            dispatcher: core::Dispatcher::new(settings, 1, core::Clock::start(), counters.clone())
-                .expect("served"),
-            transport: Nodes::new(budget.clone(), memory.clone(), counters.clone(), 0.25, 15.0, 1),
-            notes,
-            phases: phases.clone(),
-            budget: budget.clone(),
-            memory,
-            counters,
+            desk: Rc::new(request::Desk {
+                dispatcher: core::Dispatcher::new(settings, 1, core::Clock::start(), counters.clone())
+                    .expect("served"),
+                transport: Nodes::new(budget.clone(), memory.clone(), counters.clone(), 0.25, 15.0, 1),
+                notes,
+                phases: phases.clone(),
+                budget: budget.clone(),
+                memory,
+                counters,
+            }),
         });
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
