--- a/src/core.rs
+++ b/src/core.rs
@@ -15,10 +15,9 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::future::Future;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Past a deadline, how long the module's answer is still awaited before the head words one itself.
@@ -191,9 +190,32 @@
     Fail,
 }
 
+/// The module's choices for one request, until it takes them: mostly one at a time, so that no more is allocated.
+#[derive(Default)]
+struct Post {
+    waiting: RefCell<VecDeque<Choice>>,
+    arrived: Notify,
+}
+
+impl Post {
+    fn send(&self, choice: Choice) {
+        self.waiting.borrow_mut().push_back(choice);
+        self.arrived.notify_one();
+    }
+
+    async fn recv(&self) -> Choice {
+        loop {
+            if let Some(choice) = self.waiting.borrow_mut().pop_front() {
+                return choice;
+            }
+            self.arrived.notified().await;
+        }
+    }
+}
+
 /// The module's mail for one request, and which attempt it takes to be out.
 struct Mailbox {
-    mail: mpsc::UnboundedSender<Choice>,
+    mail: Rc<Post>,
     sends: usize,
     out: Option<(usize, f64)>,
 }
@@ -366,8 +388,7 @@
                 }
             };
             if let Some(mailbox) = state.mailboxes.get(&request) {
-                // The receiver lives as long as its entry here; nothing is lost.
-                let _ = mailbox.mail.send(choice);
+                mailbox.mail.send(choice);
             }
         }
     }
@@ -403,10 +424,10 @@
         let (mut last, mut sent) = (self.finish_by.get().map_or(overdue, |at| overdue.min(at)), false);
         let answer = loop {
             let choice = match timeout_at(last, ticket.mail.recv()).await {
-                Ok(Some(choice)) => choice,
+                Ok(choice) => choice,
                 Err(_) if last < overdue => break if sent { failed(&flight) } else { refused(0.0, &flight) },
                 // Guards against a module that owes an answer: the client gets one in any case.
-                Ok(None) | Err(_) => {
+                Err(_) => {
                     self.counters.overdue.add();
                     log::error!("core: no choice by the deadline of request {}", ticket.id.0);
                     return failed(&flight);
@@ -417,7 +438,8 @@
                     sent = true;
                     let until = self.clock.instant(abandon_at).min(last);
                     // The mail comes first: an attempt called off before its first byte is never written.
-                    let mut sending = pin!(transport.send(node, &call.envelope, until));
+                    // A request that is held is not to carry the room of its attempt.
+                    let mut sending = Box::pin(transport.send(node, &call.envelope, until));
                     let upload = call.envelope.payload.upload();
                     let ended = loop {
                         tokio::select! {
@@ -445,8 +467,8 @@
                         Err(later) => {
                             self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled), upload);
                             match later {
-                                Some(Choice::Refuse { wait }) => break refused(wait, &flight),
-                                Some(Choice::Fail) => break failed(&flight),
+                                Choice::Refuse { wait } => break refused(wait, &flight),
+                                Choice::Fail => break failed(&flight),
                                 _ => {}
                             }
                         }
@@ -465,7 +487,7 @@
     }
 
     fn take(self: &Rc<Self>, call: &Call) -> Ticket {
-        let (mail, receiver) = mpsc::unbounded_channel();
+        let mail = Rc::new(Post::default());
         let id = {
             let state = &mut *self.state.borrow_mut();
             let mut id = RequestId(state.next_id);
@@ -473,10 +495,10 @@
                 id = RequestId(id.0.wrapping_add(1));
             }
             state.next_id = id.0.wrapping_add(1);
-            state.mailboxes.insert(id, Mailbox { mail, sends: 0, out: None });
+            state.mailboxes.insert(id, Mailbox { mail: mail.clone(), sends: 0, out: None });
             id
         };
-        let ticket = Ticket { dispatcher: self.clone(), id, mail: receiver, answered: false };
+        let ticket = Ticket { dispatcher: self.clone(), id, mail, answered: false };
         let remaining = call.deadline.saturating_duration_since(Instant::now()).as_secs_f64();
         self.tell(&[Event::Request(Request {
             id,
@@ -536,7 +558,7 @@
 struct Ticket {
     dispatcher: Rc<Dispatcher>,
     id: RequestId,
-    mail: mpsc::UnboundedReceiver<Choice>,
+    mail: Rc<Post>,
     answered: bool,
 }
 
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -349,7 +349,8 @@
             Err(problem) => return self.turn_down(&problem),
         };
         let flight = self.counters.flight(fields.class);
-        let call = self.call(request, fields, grace).await;
+        // Its room is free again once the body has come.
+        let call = Box::pin(self.call(request, fields, grace)).await;
         // A second request with an id would be a second copy at the node.
         match call.and_then(|call| {
             let fresh = self.dispatcher.claim(&call.envelope.id);
