--- a/src/logic.rs
+++ b/src/logic.rs
@@ -559,8 +559,8 @@
         if pass == Pass::Nothing && back { Pass::Share } else { pass }
     }
 
-    /// Answers at once what the level in force does not let wait: of each volume, oldest first, what its reserve
-    /// will not cover before it is late and, where shares pass, what its part by weight of the lane's pace will not.
+    /// Answers at once what the level in force does not let wait: of each volume, oldest first, what neither its
+    /// reserve nor, where shares pass, its part by weight of the lane's pace will serve before it is late.
     fn withhold(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         let queued: Vec<RequestId> = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id).collect();
