--- a/src/logic.rs
+++ b/src/logic.rs
@@ -550,8 +550,8 @@
         }
     }
 
-    /// What the level in force lets pass of a request's kind at a lane. One behind a cut way is open again, but for
-    /// spare work, once its node has answered since and answers still.
+    /// What the level in force lets pass of a request's kind at a lane. One behind a cut way is open again,
+    /// but for spare work, once its node has answered since and answers still.
     fn lets(&self, ask: &Request, lane: &Lane) -> Pass {
         let pass = self.level.pass(ask.class, ask.plan, lane.target.as_ref().map(|t| t.zone));
         let silent = lane.out.first().is_some_and(|o| self.now - o.at > self.tightest);
@@ -559,8 +559,8 @@
         if pass == Pass::Nothing && back { Pass::Share } else { pass }
     }
 
-    /// Answers at once what the level in force does not let wait: of each volume, oldest first, what neither its
-    /// reserve nor, where shares pass, its part by weight of the lane's pace will serve before it is late.
+    /// Answers at once what the level in force does not let wait: of each volume, oldest first, what neither
+    /// its reserve nor, where shares pass, its part by weight of the lane's pace will serve before it is late.
     fn withhold(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         let queued: Vec<RequestId> = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id).collect();
