--- a/src/logic.rs
+++ b/src/logic.rs
@@ -560,7 +560,7 @@
     }
 
     /// Answers at once what the level in force does not let wait: of each volume, oldest first, what neither
-    /// its reserve nor, where shares pass, its part by weight of the lane's pace will serve before it is late.
+    /// its reserve nor, where shares pass, its part by weight of the lane's pace will serve in time.
     fn withhold(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         let queued: Vec<RequestId> = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id).collect();
