Spread a fleet's calls to discovery over 4 s at most, whatever its size

No log of any head had a failed or lost watch; counted over the fleet, the first watches came 0.3 to 12.4 s after the start, evenly. A change counts as told 6 s later, asked for or not, so half of the heads broke the rule on drains before they had asked once. Lines at fault: FLEET_SPREAD in discovery::follow, 1 s for each eight heads without a bound, and FLEET_FIRST, 3 to 9 s before a second try.

Ruled out: a service that can't take them sooner.

Change: pacing.rs decides, without clock or sockets; the span stays 1 s for each eight heads up to 4 s, and a first retry is drawn from the same span (it was 6.25 s for 100 heads). Its test plays a service with that pace against 9 to 200 heads; with the old span it fails. Small fleets pause as before.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -5,6 +5,7 @@
 use crate::core::Dispatcher;
 use crate::counters::Counters;
 use crate::node::{Nodes, Place};
+use crate::pacing::Pacing;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -30,16 +31,6 @@
 const LONGEST_CALL: Duration = Duration::from_secs(4);
 /// A watch that stays silent this long is dead: an empty line is due every 2 s.
 const SILENCE: Duration = Duration::from_secs(3);
-/// First and longest pause between two tries, for a fleet of so many heads at most.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-const SMALL_FLEET: f64 = 8.0;
-/// The same for a larger fleet, for each time that it holds a small one: its calls add up, and a service that is
-/// behind with them catches up only once they are fewer than it can do. Heads with a known list spread their
-/// first calls over the last span.
-const FLEET_FIRST: Duration = Duration::from_millis(500);
-const FLEET_LONGEST: Duration = Duration::from_secs(2);
-const FLEET_SPREAD: Duration = Duration::from_secs(1);
 /// Longest line, and longest list, that is read.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -151,46 +142,7 @@
     version: Cell<u64>,
     /// Turns true with the first list that discovery itself gives.
     heard: watch::Sender<bool>,
-    /// How many times the fleet is larger than a small one, and a state for drawing pauses.
-    fleet: f64,
-    chance: Cell<u64>,
-}
-
-/// Pauses between tries at one thing: each up to twice as long as the one before, and drawn by chance, so that
-/// heads that lost it together do not come back together.
-struct BackOff<'a> {
-    fleet: f64,
-    chance: &'a Cell<u64>,
-    next: Duration,
-}
-
-impl BackOff<'_> {
-    fn new(fleet: f64, chance: &Cell<u64>) -> BackOff<'_> {
-        let mut back_off = BackOff { fleet, chance, next: Duration::ZERO };
-        back_off.restart();
-        back_off
-    }
-
-    fn restart(&mut self) {
-        self.next = if self.fleet > 1.0 { FLEET_FIRST.mul_f64(self.fleet) } else { FIRST_PAUSE };
-    }
-
-    fn pause(&mut self) -> Duration {
-        let pause = self.next.mul_f64(0.5 + draw(self.chance));
-        let longest = if self.fleet > 1.0 { FLEET_LONGEST.mul_f64(self.fleet) } else { LONGEST_PAUSE };
-        self.next = (self.next * 2).min(longest);
-        pause
-    }
-}
-
-/// A number in [0, 1) by chance (xorshift).
-fn draw(chance: &Cell<u64>) -> f64 {
-    let mut state = chance.get();
-    state ^= state << 13;
-    state ^= state >> 7;
-    state ^= state << 17;
-    chance.set(state);
-    (state >> 11) as f64 / (1u64 << 53) as f64
+    pacing: Pacing,
 }
 
 impl Directory {
@@ -203,8 +155,7 @@
         zones: Vec<String>,
         (hosts, seed): (u32, u64),
     ) -> Rc<Directory> {
-        let (heard, chance) = (watch::Sender::new(false), Cell::new(seed | 1));
-        let fleet = (f64::from(hosts) / SMALL_FLEET).max(1.0);
+        let (heard, pacing) = (watch::Sender::new(false), Pacing::new(hosts, seed));
         let (named, version, zones) = (Cell::new(0), Cell::new(0), RefCell::new(zones));
         let (names, seen) = (RefCell::default(), RefCell::default());
         Rc::new(Directory {
@@ -218,8 +169,7 @@
             zones,
             version,
             heard,
-            fleet,
-            chance,
+            pacing,
         })
     }
 
@@ -229,12 +179,8 @@
         let _ = self.heard.subscribe().wait_for(|heard| *heard).await;
     }
 
-    fn back_off(&self) -> BackOff<'_> {
-        BackOff::new(self.fleet, &self.chance)
-    }
-
     fn patience(&self) -> Duration {
-        CALL.mul_f64(self.fleet).min(LONGEST_CALL)
+        CALL.mul_f64(self.pacing.fleet()).min(LONGEST_CALL)
     }
 
     /// How many nodes are on the list, and how many of them get no work.
@@ -396,10 +342,10 @@
     /// Follows the list for as long as the program runs, wherever it is to be had: from the version known on,
     /// or, where none is, from the first whole list that is given.
     pub async fn follow(&self, mut source: watch::Receiver<SocketAddr>, mut known: bool) {
-        if known && self.fleet > 1.0 {
-            sleep(FLEET_SPREAD.mul_f64(self.fleet * draw(&self.chance))).await;
+        if known {
+            sleep(self.pacing.first()).await;
         }
-        let mut back_off = self.back_off();
+        let mut back_off = self.pacing.back_off();
         while !known {
             let address = *source.borrow_and_update();
             match self.fetch(address).await {
@@ -431,7 +377,7 @@
             // No other source will ever be named.
             return std::future::pending().await;
         }
-        let mut back_off = self.back_off();
+        let mut back_off = self.pacing.back_off();
         loop {
             let address = *source.borrow_and_update();
             match self.fetch(address).await {
@@ -448,7 +394,7 @@
 
     /// Keeps a watch at one address.
     async fn keep_watch(&self, address: SocketAddr) {
-        let (mut back_off, opened) = (self.back_off(), Cell::new(false));
+        let (mut back_off, opened) = (self.pacing.back_off(), Cell::new(false));
         loop {
             if let Err(problem) = self.watch(address, &opened).await {
                 log::warn!("discovery: watch ended: {problem}");
@@ -486,26 +432,3 @@
         other => Err(DiscoveryError::Status(other)),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a fleet that comes back to discovery all at once, or so often that it never catches up.
-    #[test]
-    fn the_pauses_of_a_fleet_differ_and_grow_until_its_calls_are_few() {
-        let pauses = |fleet, seed| {
-            let chance = Cell::new(seed);
-            let mut back_off = BackOff::new(fleet, &chance);
-            (0..8).map(|_| back_off.pause().as_secs_f64()).collect::<Vec<_>>()
-        };
-        let heads: Vec<_> =
-            (0..48).map(|head| pauses(6.0, 0x9E37_79B9_7F4A_7C15u64.wrapping_mul(head + 1))).collect();
-        assert!(heads.iter().all(|p| p[0] >= 1.5 && p.iter().all(|pause| *pause <= 18.0)));
-        let calls: f64 = heads.iter().map(|p| 1.0 / p[7]).sum();
-        assert!((2.0..8.0).contains(&calls), "{calls} a second");
-        let early = heads.iter().filter(|p| p[0] < 3.0).count();
-        assert!((10..38).contains(&early), "{early} of 48 in the first half");
-        assert!(pauses(1.0, 5).iter().all(|pause| (0.02..1.5).contains(pause)), "a few heads need not wait");
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod memory;
 pub mod node;
 pub mod ops;
+pub mod pacing;
 pub mod phases;
 pub mod plugin;
 pub mod watch;
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 use crate::counters::Counters;
 use crate::descriptors::{Budget, Side, Slot};
 use crate::memory::{self, Gathered, Memory};
+use crate::pacing;
 use bytes::Bytes;
 use futures_core::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -34,11 +35,10 @@
 /// Part of the nodes' idle time after which a pooled connection is closed, and at most how many seconds: one
 /// that the node is about to close would turn the next request into a reset, and nodes were seen to close
 /// after 1.8 s though the settings said 15.
+/// In a larger fleet than a small one each head asks a node seldom, and a new connection for each request
+/// costs the nodes more than a reset now and then: there the part alone counts.
 const IDLE_PART: f64 = 0.5;
 const IDLE_MOST: f64 = 1.5;
-/// In a larger fleet than this each head asks a node seldom, and a new connection for each request costs the
-/// nodes more than a reset now and then: there the part alone counts.
-const SMALL_FLEET: u32 = 8;
 /// Longest head, and all that an answer may come to with interim ones before it.
 const LONGEST_HEAD: usize = 16 * 1024;
 const LONGEST_ANSWER: usize = memory::LONGEST as usize + (1 << 20);
@@ -344,7 +344,7 @@
         conn_idle: f64,
         hosts: u32,
     ) -> Rc<Nodes> {
-        let most = if hosts > SMALL_FLEET { f64::INFINITY } else { IDLE_MOST };
+        let most = if hosts > pacing::SMALL_FLEET { f64::INFINITY } else { IDLE_MOST };
         let (connect_timeout, idle_for) =
             (seconds(connect_timeout), seconds((conn_idle * IDLE_PART).min(most)));
         let pools = Rc::default();
