Use cold nodes up to what they bear, however many heads there are

Counted over the fleet by the age of the node: all heads sent a cold node 0.8 units a second at age 0 and 7.7 at age 16, and refused 20 to 33, while warm nodes did 21 and answers of the cold ones took 0.05 to 0.1 s in the median, less than those of warm ones. Some 27 to 31 heads send to one shard, so even parts by 100 heads give away 70 % of the guarantee.

Ruled out: nodes that could do no more (their latencies, above; no Full from a cold node in the logs), limits (the same volumes were served at warm nodes), late lists (nodes were known within 1.6 s).

Lines at fault: cold_rate divides the guarantee by all hosts; `usual`, meant to mend that, forgot within warm_within while the node was starved (Lane::usual), began at 0 with each head and was 40 % of the truth after 8 s; parts under one request were saved for one that seldom came (standing), half a request in each of the heads.

Change, as crates/warming, without clock or I/O: a head's part follows what was due to it (asked inside a reserve, or served), right from the first seconds; a quick answer doubles it, a slow one halves it, up to the whole guarantee, since a node that answers quickly holds little of all heads; what is due goes ahead of the part by chance. Volume::due counts reserves at arrival. Tests: 3 to 200 heads before one FIFO node, known or restarted, up to twice the load: at most 0.76 of what pushes it over (asserted 0.9); over 0.6 of what it could serve is used, where even parts used 0.2 to 0.36.

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,7 @@
 //!
 //! Times are seconds on a clock of the caller's choosing that never runs backwards.
 
+pub use flaxgap_warming::Cold;
 use std::fmt;
 
 /// A request as the caller knows it; never used twice in one life of a scheduler.
@@ -117,21 +118,6 @@
     pub window: f64,
 }
 
-/// How nodes that just started are protected.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Cold {
-    /// Units within `span` that such a node bears from all hosts together.
-    pub units: f64,
-    /// The span the pressure is counted over, in seconds.
-    pub span: f64,
-    /// The least share of its capacity that it starts with.
-    pub from: f64,
-    /// Seconds after which it is warm at the latest.
-    pub warm_within: f64,
-    /// The multiple of its present capacity that pushes it over, sent for `span`.
-    pub multiple: f64,
-}
-
 /// What a scheduler is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! fair queue in `pick`, the weights in `adapt` and the window in `Lane::learn`; the rest are guards.
 
 use crate::api::*;
+use flaxgap_warming::{Pace, Warming};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Length of a sampling tick, s; the paper's 5 s is slower than the surges are long.
@@ -49,8 +50,6 @@
 const RESERVED: u8 = 0;
 const SHARED: u8 = 1;
 const LATE: u8 = 2;
-/// Part of what a cold node is taken to bear that is used: the rest is for chance.
-const COLD_MARGIN: f64 = 0.75;
 /// First and longest pause, s: of a lane whose node refused or dropped, and before a list call is repeated.
 const BACKOFF: (f64, f64) = (0.05, 1.0);
 const ASK: (f64, f64) = (0.5, 8.0);
@@ -134,11 +133,12 @@
     samples: (f64, u32),
 }
 
-/// A volume's stores: the limit's even part (rule 5) and what of its reserve is still due.
+/// A volume's stores: the limit's even part (rule 5) and what of its reserve is not sent, and not asked, yet.
 struct Volume {
     hosts: f64,
     limit: f64,
     reserve: f64,
+    due: f64,
     at: f64,
 }
 
@@ -181,27 +181,25 @@
     latency: Vec<f64>,
     failures: u32,
     closed_until: f64,
-    cold_store: Option<f64>,
-    cold_at: f64,
-    usual: f64,
-    served_at: f64,
+    warming: Warming,
 }
 
 impl Lane {
-    fn new(classes: usize) -> Lane {
-        let (queues, finish) = (vec![Vec::new(); classes], vec![0.0; classes]);
-        Lane { queues, finish, window: WINDOW_START, latency: vec![0.0; classes], ..Lane::default() }
+    fn new(classes: usize, warming: Warming) -> Lane {
+        let (queues, finish, latency) = (vec![Vec::new(); classes], vec![0.0; classes], vec![0.0; classes]);
+        Lane { queues, finish, latency, warming, window: WINDOW_START, ..Lane::default() }
     }
 
     /// Follows the list: the node started last among the ready ones; a new one is learnt afresh.
-    fn choose_target(&mut self) {
+    fn choose_target(&mut self, now: f64) {
         let ready = self.nodes.values().filter(|n| n.state == NodeState::Ready);
         let best = ready.max_by(|a, b| a.since.total_cmp(&b.since).then(b.node.cmp(&a.node))).cloned();
         let key = |n: &Option<NodeInfo>| n.as_ref().map(|n| (n.node, n.since));
         if key(&best) != key(&self.target) {
             let (queues, nodes) = (std::mem::take(&mut self.queues), std::mem::take(&mut self.nodes));
-            let (epoch, usual, served_at) = (self.epoch + 1, self.usual, self.served_at);
-            *self = Lane { queues, nodes, epoch, usual, served_at, ..Lane::new(self.finish.len()) };
+            self.warming.started(now);
+            *self =
+                Lane { queues, nodes, epoch: self.epoch + 1, ..Lane::new(self.finish.len(), self.warming) };
         }
         self.target = best;
     }
@@ -243,6 +241,7 @@
         self.closed_until = now + (BACKOFF.0 * f64::from(1 << self.failures.min(6))).min(BACKOFF.1);
         self.failures += 1;
         self.window = (self.window / 2.0).max(WINDOW_MIN);
+        self.warming.failed();
     }
 }
 
@@ -398,13 +397,13 @@
                 lane.nodes.insert(info.node, info.clone());
             }
         }
-        self.lanes.values_mut().for_each(Lane::choose_target);
+        self.lanes.values_mut().for_each(|lane| lane.choose_target(self.now));
         self.place_again();
     }
 
     fn lane(&mut self, shard: ShardId) -> &mut Lane {
-        let classes = self.set.classes.len();
-        self.lanes.entry(shard).or_insert_with(|| Lane::new(classes))
+        let (classes, warming) = (self.set.classes.len(), Warming::new(self.set.cold.warm_within, self.now));
+        self.lanes.entry(shard).or_insert_with(|| Lane::new(classes, warming))
     }
 
     /// New objects held before a node that went away go to another.
@@ -433,7 +432,11 @@
             self.order.entry(extent).or_default().0.push_back(ask.id);
         }
         self.know_volume(&ask);
-        let reserved = self.refill(ask.volume, ask.plan).is_none_or(|(v, _)| v.reserve >= ask.units);
+        let reserved = self.refill(ask.volume, ask.plan).is_none_or(|(volume, _)| {
+            let inside = volume.due >= ask.units;
+            volume.due -= if inside { ask.units } else { 0.0 };
+            inside
+        });
         let id = ask.id;
         let held = Held {
             lane: ask.shard.unwrap_or(ShardId(0)),
@@ -447,9 +450,14 @@
             draw: self.chance(),
             attempts: Vec::new(),
         };
+        let units = held.ask.units;
         self.held.insert(id, held);
         self.expiry.insert((deadline.to_bits(), id));
         self.enqueue(id);
+        if reserved {
+            let (shard, now) = (self.held[&id].lane, self.now);
+            self.lane(shard).warming.due(now, units);
+        }
     }
 
     fn enqueue(&mut self, id: RequestId) {
@@ -497,7 +505,7 @@
         let reserve = plan.map_or(0.0, |p| p.reserve + self.set.most_units);
         // Rule 5: an earlier life may have spent its part, so a start gets its part of what is left unspent.
         let limit = plan.and_then(|p| p.limit).map_or(0.0, |l| (CUSHION * l.burst + l.slack) / hosts);
-        let fresh = Volume { hosts, limit: limit * self.part.1, reserve, at: self.started };
+        let fresh = Volume { hosts, limit: limit * self.part.1, reserve, due: 0.0, at: self.started };
         let volume = self.volumes.entry(ask.volume).or_insert(fresh);
         if hosts > volume.hosts {
             (volume.limit, volume.hosts) = (volume.limit.min(limit), hosts);
@@ -513,8 +521,8 @@
             let part = part / volume.hosts;
             volume.limit = (volume.limit + passed * l.rate * part).min((1.0 - CUSHION) * l.burst * part);
         }
-        let most = plan.reserve + self.set.most_units;
-        volume.reserve = (volume.reserve + passed * plan.reserve / volume.hosts.sqrt()).min(most);
+        let (most, more) = (plan.reserve + self.set.most_units, passed * plan.reserve / volume.hosts.sqrt());
+        (volume.reserve, volume.due) = ((volume.reserve + more).min(most), (volume.due + more).min(most));
         Some((volume, plan.limit))
     }
 
@@ -685,12 +693,12 @@
         attempt.outcome = Some(outcome);
         let (shard, epoch, sent_at) = (attempt.shard, attempt.epoch, attempt.at);
         let (class, units, arrived) = (held.ask.class.0, held.ask.units, held.arrived);
+        let undue = if held.reserved { 0.0 } else { units };
         let rests = outcome.may_still_run() && self.set.classes[class].in_order;
         let ordered = held.ask.extent.filter(|_| rests);
         if let Some((_, rest)) = ordered.and_then(|extent| self.order.get_mut(&extent)) {
             *rest = rest.max(now + self.set.order_pause);
         }
-        let memory = self.set.cold.warm_within.max(TICK);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Timeout) {
             self.weather.latency += BLEND * (elapsed - self.weather.latency);
             self.weather.heard = now;
@@ -701,8 +709,12 @@
                 Outcome::Ok | Outcome::Error => {
                     (lane.heard, lane.failures) = (now, 0);
                     lane.out.iter_mut().filter(|o| o.at < sent_at).for_each(|o| o.passed += 1);
-                    let past = (-(now - lane.served_at) / memory).exp();
-                    (lane.usual, lane.served_at) = (lane.usual * past + units / memory, now);
+                    lane.warming.due(now, undue);
+                    lane.warming.answered(match elapsed / self.tightest {
+                        quick if quick < PRESSED => Pace::Quick,
+                        slow if slow > 1.0 => Pace::Slow,
+                        _ => Pace::Fair,
+                    });
                     lane.latency[class] += BLEND * (elapsed - lane.latency[class]);
                     lane.learn(elapsed, units);
                 }
@@ -741,19 +753,10 @@
     }
 
     /// Rule 4: units a second this host may send a node that may still be cold. `None`: it is warm.
-    /// Its even part of what is guaranteed, or, if more, most of what the rule allows a node that does what
-    /// this host was served there before: over all hosts no more than the node did (`docs/design.md`).
     fn cold_rate(&self, lane: &Lane) -> Option<f64> {
-        let cold = &self.set.cold;
         let age = self.now - lane.target.as_ref().filter(|t| t.since > 0.0)?.since;
-        if age >= cold.warm_within + cold.span || cold.span <= 0.0 {
-            return None;
-        }
-        let from = cold.from.clamp(0.01, 1.0);
-        let ramp = ((age - cold.span).max(0.0) / cold.warm_within.max(cold.span)).min(1.0);
-        let share = from + (1.0 - from) * ramp;
-        let even = self.part.0 * cold.units / f64::from(self.set.hosts) / cold.span * share / from;
-        Some(even.max(COLD_MARGIN * cold.multiple * share * lane.usual))
+        let slow = lane.latency_now(self.now, self.weather) > self.tightest;
+        lane.warming.rate(&self.set.cold, (f64::from(self.set.hosts), self.part.0), self.now, age, slow)
     }
 
     /// Calls off an attempt that is overdue for its size while its node answered later ones: its connection
@@ -834,14 +837,10 @@
             }
         }
         if let Some(rate) = self.cold_rate(lane) {
-            // Saved up to a whole request; the first start is drawn, or all hosts would send as one.
-            let most = units.max((1.0 - COLD_MARGIN) * rate * self.set.cold.span);
-            let (first, age) = (held.draw * units, now - lane.cold_at);
-            let saved = lane.cold_store.map_or(first, |saved| (saved + rate * age).min(most));
-            let lane = self.lanes.get_mut(&shard)?;
-            (lane.cold_store, lane.cold_at) = (Some(saved), now);
-            if saved < units {
-                self.blocked_until = self.blocked_until.min(now + ((units - saved) / rate).max(tick));
+            let (draw, size) = (held.draw, (units, held.reserved));
+            let wait = self.lanes.get_mut(&shard)?.warming.wait(&self.set.cold, rate, now, size, draw);
+            if wait > 0.0 {
+                self.blocked_until = self.blocked_until.min(now + wait.max(tick));
                 return None;
             }
         }
@@ -903,7 +902,7 @@
             *tag = start + units / plan_weight;
             lane.volume_time = start;
         }
-        lane.cold_store = lane.cold_store.map(|saved| saved - units);
+        lane.warming.sent(units);
         lane.out.push(Out { at: now, id, passed: 0 });
         lane.was_full |= lane.out.len() >= lane.window as usize;
         let first = held.attempts.is_empty();
