--- a/tests/stories_operators.rs
+++ b/tests/stories_operators.rs
@@ -67,6 +67,7 @@
     assert_eq!(client.ask(&read().replace("shard=0", "shard=1"), b"").body, b"two");
     assert_eq!([figure(&head, "app_bricks_known"), figure(&head, "app_bricks_excluded")], [2, 1]);
     let next = Head::start(&discovery, None, &[("TMPDIR", head.folder.to_str().expect("a path"))]);
+    wait(|| (figure(&next, "app_bricks_known") == 2).then_some(()));
     assert_eq!(figure(&next, "app_bricks_excluded"), 1, "the next process finds it");
     std::fs::write(head.folder.join("flaxgap-n0.bans"), "{").expect("written");
     assert_eq!(call(head.ops, "PUT", "/ops/bricks/up?host=s-1").0, 200);
