Tighten the test of cold nodes to what even parts fail, and correct its figures

Measured again over all 120 plays: 0.89 at most; used 0.92 to 1.09 by 8 to 100 heads, 0.16 to 0.55 with even parts alone, so bounds of 0.9 and 0.6 hold and fail without the mend.

--- a/crates/warming/tests/fleet.rs
+++ b/crates/warming/tests/fleet.rs
@@ -113,7 +113,7 @@
                     eprintln!("{heads} {loads:?} {knows} {pressure}");
                 }
                 assert!(
-                    pressure < 1.0,
+                    pressure < 0.9,
                     "{heads} heads, load {loads:?}, known {knows}, seed {seed}: {pressure}"
                 );
             }
@@ -121,8 +121,8 @@
     }
 }
 
-/// Even parts of what is guaranteed came to a fifth of what such nodes could serve, and what was known of them was
-/// forgotten while they were starved.
+/// Even parts of what is guaranteed come to 0.55 of what such a node could serve with 8 heads, 0.41 with 30 and 0.16 with
+/// 100.
 #[test]
 fn what_a_cold_node_can_serve_is_used_however_many_heads_there_are() {
     for heads in [8, 30, 100] {
@@ -130,7 +130,7 @@
             let used = |seed| play(heads, power(3.0), (0.6, 1.0), knows, seed).used;
             let used = (0..6).map(used).sum::<f64>() / 6.0;
             eprintln!("{heads} {knows} {used}");
-            assert!(used > 0.1, "{heads} heads, known {knows}: {used}");
+            assert!(used > 0.6, "{heads} heads, known {knows}: {used}");
         }
     }
 }
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -88,7 +88,7 @@
             false => (0.5 + draw, LONGEST_PAUSE),
         };
         let pause = self.next.mul_f64(part);
-        self.next = (self.next * 2).min(longest.max(self.next));
+        self.next = (self.next * 2).min(longest);
         pause
     }
 }
