Ask a head's own agent at once, and answer what is in hand before the program's end

Here the settings say `membership_mode: push`: the address is an agent on the head's own machine, which answers at once and whose list counts as told. A slow agent is ruled out by the calls, none of which failed.

`Pacing` spreads calls only where one service is shared (settings' `ask`); where changes are pushed a head asks at once, with the short pauses of a small fleet. `serve` waits for the program's end beside the module's choice: what is in hand is then answered, refused if it never went out and failed if it did, and the module is told.

--- a/src/core.rs
+++ b/src/core.rs
@@ -17,8 +17,8 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep_until};
 
 /// Past a deadline, how long the module's answer is still awaited before the head words one itself.
 const OVERDUE: Duration = Duration::from_millis(20);
@@ -240,7 +240,7 @@
     watch: RefCell<Option<Watch>>,
     /// What the module has taken of the core since the watch began.
     spent: Cell<Duration>,
-    finish_by: Cell<Option<Instant>>,
+    finish_by: watch::Sender<Option<Instant>>,
     ids: RefCell<Ids>,
 }
 
@@ -259,7 +259,7 @@
         let state = State { scheduler, mailboxes, wakes, next_id: 0, pending, tick, next_call };
         let state = RefCell::new(state);
         let (woken, observer) = (Notify::new(), RefCell::new(None));
-        let (finish_by, ids) = (Cell::new(None), RefCell::default());
+        let (finish_by, ids) = (watch::Sender::new(None), RefCell::default());
         let (watch, spent) = Default::default();
         Ok(Rc::new(Dispatcher { state, clock, woken, counters, observer, watch, spent, finish_by, ids }))
     }
@@ -326,10 +326,20 @@
         fresh
     }
 
-    /// What is taken from now on is answered by this moment, since the program ends. The module is not told:
-    /// it would read the shorter time as a client's that has waited before.
+    /// What is in hand, and what is taken from now on, is answered by this moment, since the program ends. The
+    /// module is not told: it would read the shorter time as a client's that has waited before.
     pub fn finish_by(&self, at: Instant) {
-        self.finish_by.set(Some(at));
+        self.finish_by.send_replace(Some(at));
+    }
+
+    /// Waits for the moment by which all is to be answered; for ever where none is set.
+    async fn finished(&self) {
+        // The sender lives in `self`, so the wait can't fail.
+        let at = self.finish_by.subscribe().wait_for(Option::is_some).await.ok().and_then(|at| *at);
+        match at {
+            Some(at) => sleep_until(at).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// The clock that the module's figures are on.
@@ -420,14 +430,20 @@
         if let Some(observer) = &observer {
             observer.taken(&call);
         }
-        let mut overdue = call.deadline + OVERDUE;
-        let (mut last, mut sent) = (self.finish_by.get().map_or(overdue, |at| overdue.min(at)), false);
+        let upload = call.envelope.payload.upload();
+        let passing = || upload.is_some_and(|upload| upload.spent());
+        let mut finished = std::pin::pin!(self.finished());
+        let (mut overdue, mut sent, mut cut) = (call.deadline + OVERDUE, false, false);
         let answer = loop {
-            let choice = match timeout_at(last, ticket.mail.recv()).await {
-                Ok(choice) => choice,
-                Err(_) if last < overdue => break if sent { failed(&flight) } else { refused(0.0, &flight) },
+            let choice = tokio::select! {
+                biased;
+                choice = ticket.mail.recv() => choice,
+                () = finished.as_mut(), if !passing() => {
+                    cut = true;
+                    break if sent { failed(&flight) } else { refused(0.0, &flight) };
+                }
                 // Guards against a module that owes an answer: the client gets one in any case.
-                Err(_) => {
+                () = sleep_until(overdue) => {
                     self.counters.overdue.add();
                     log::error!("core: no choice by the deadline of request {}", ticket.id.0);
                     return failed(&flight);
@@ -436,35 +452,38 @@
             match choice {
                 Choice::Send { attempt, node, abandon_at } => {
                     sent = true;
-                    let until = self.clock.instant(abandon_at).min(last);
+                    let until = self.clock.instant(abandon_at).min(overdue);
                     // The mail comes first: an attempt called off before its first byte is never written.
                     // A request that is held is not to carry the room of its attempt.
                     let mut sending = Box::pin(transport.send(node, &call.envelope, until));
-                    let upload = call.envelope.payload.upload();
                     let ended = loop {
                         tokio::select! {
                             biased;
-                            later = ticket.mail.recv() => break Err(later),
-                            reply = sending.as_mut() => break Ok(reply),
+                            later = ticket.mail.recv() => break Some(Err(later)),
+                            reply = sending.as_mut() => break Some(Ok(reply)),
+                            () = finished.as_mut(), if !passing() => break None,
                             // Data that pass on take their time; the module's clock for it stops.
                             () = started(upload) => {
                                 self.tell(&[Event::Started { request: ticket.id }]);
                             }
                         }
                     };
-                    if upload.is_some_and(|upload| upload.spent()) {
+                    if passing() {
                         overdue = overdue.max(Instant::now() + OVERDUE);
-                        last = last.max(overdue);
                     }
                     match ended {
-                        Ok(reply) => {
+                        None => {
+                            cut = true;
+                            break failed(&flight);
+                        }
+                        Some(Ok(reply)) => {
                             let served = reply.outcome == Outcome::Ok;
                             self.report(&ticket, attempt, &reply, upload);
                             if served {
                                 break Answer::Served(reply.body, flight);
                             }
                         }
-                        Err(later) => {
+                        Some(Err(later)) => {
                             self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled), upload);
                             match later {
                                 Choice::Refuse { wait } => break refused(wait, &flight),
@@ -479,7 +498,8 @@
                 Choice::Fail => break failed(&flight),
             }
         };
-        ticket.answered = true;
+        // Cut short, the module still takes it to be held.
+        ticket.answered = !cut;
         if let Some(observer) = &observer {
             observer.answered(&call, &answer, taken_at.elapsed());
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::memory::Memory;
 use crate::node::Nodes;
 use crate::ops::{Ops, OpsError};
+use crate::pacing::Pacing;
 use crate::phases::{Phase, Phases};
 use crate::plugin::{Plugin, PluginError};
 use std::io;
@@ -204,7 +205,7 @@
             counters.clone(),
             bans.clone(),
             zones,
-            (settings.hosts, config.seed),
+            Pacing::new(settings.hosts, config.seed, settings.ask_every.is_some()),
         );
         let levels = Levels::new(
             dispatcher.clone(),
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -153,9 +153,9 @@
         counters: Rc<Counters>,
         bans: Rc<Bans>,
         zones: Vec<String>,
-        (hosts, seed): (u32, u64),
+        pacing: Pacing,
     ) -> Rc<Directory> {
-        let (heard, pacing) = (watch::Sender::new(false), Pacing::new(hosts, seed));
+        let heard = watch::Sender::new(false);
         let (named, version, zones) = (Cell::new(0), Cell::new(0), RefCell::new(zones));
         let (names, seen) = (RefCell::default(), RefCell::default());
         Rc::new(Directory {
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -29,9 +29,11 @@
 }
 
 impl Pacing {
-    /// For one of `hosts` heads, with a seed of its own.
-    pub fn new(hosts: u32, seed: u64) -> Pacing {
-        let fleet = (f64::from(hosts) / f64::from(SMALL_FLEET)).max(1.0);
+    /// For one of `hosts` heads, with a seed of its own. `shared` is set where one service of fixed capacity answers
+    /// them all; an agent of the head's own, to which changes are pushed, bears every call of that head, and
+    /// what it holds counts as told: to wait before asking it is to use a list that is known to be old.
+    pub fn new(hosts: u32, seed: u64, shared: bool) -> Pacing {
+        let fleet = if shared { (f64::from(hosts) / f64::from(SMALL_FLEET)).max(1.0) } else { 1.0 };
         Pacing { fleet, chance: Cell::new(seed | 1) }
     }
 
@@ -99,7 +101,7 @@
 
     fn heads(hosts: u32, seed: u64) -> Vec<Pacing> {
         let seeds = (1..=u64::from(hosts)).map(|head| head.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ seed);
-        seeds.map(|seed| Pacing::new(hosts, seed)).collect()
+        seeds.map(|seed| Pacing::new(hosts, seed, true)).collect()
     }
 
     /// Plays one service that takes calls in turn, `each` seconds of work apiece, and fails those that have waited
@@ -140,6 +142,19 @@
         }
     }
 
+    /// Guards against a head of a large fleet that waits for its turn where nobody else asks: an agent of its own
+    /// holds a drain that counts as told, and the head sends to the node for up to 4 s more.
+    #[test]
+    fn an_agent_of_the_heads_own_is_asked_at_once_however_large_the_fleet() {
+        for head in 1..=300u64 {
+            let pacing = Pacing::new(300, head.wrapping_mul(0x9E37_79B9_7F4A_7C15), false);
+            assert_eq!((pacing.first(), pacing.fleet()), (Duration::ZERO, 1.0));
+            let mut back_off = pacing.back_off();
+            assert!(back_off.pause() < Duration::from_millis(100));
+            assert!((0..10).all(|_| back_off.pause() <= LONGEST_PAUSE * 2));
+        }
+    }
+
     /// Guards against a fleet that comes back to discovery all at once, or so often that it never catches up.
     #[test]
     fn the_pauses_of_a_fleet_differ_and_grow_until_its_calls_are_few() {
@@ -153,8 +168,8 @@
         assert!((4.0..10.0).contains(&calls), "{calls} a second");
         let early = heads.iter().filter(|p| p[0] < 2.2).count();
         assert!((10..38).contains(&early), "{early} of 48 in the first half");
-        let few = pauses(&Pacing::new(8, 5));
+        let few = pauses(&Pacing::new(8, 5, true));
         assert!(few.iter().all(|pause| (0.02..1.5).contains(pause)), "a few heads need not wait");
-        assert_eq!(Pacing::new(8, 5).first(), Duration::ZERO);
+        assert_eq!(Pacing::new(8, 5, true).first(), Duration::ZERO);
     }
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -352,10 +352,15 @@
         sockets: usize,
         known: &str,
     ) -> Head {
+        Head::start_text(&config(discovery, sockets, known), block, extra)
+    }
+
+    /// The same with a configuration's text.
+    pub fn start_text(text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
         let number = HEADS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        std::fs::write(folder.join("config.json"), config(discovery, sockets, known)).expect("written");
+        std::fs::write(folder.join("config.json"), text).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap"));
         command.env("LB_CONFIG", folder.join("config.json")).env("RUST_LOG", "info").stderr(Stdio::piped());
         command.env_remove("FLAXGAP_BLOCK").env("LB_OPS", "127.0.0.1:0").env("TMPDIR", &folder);
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -156,6 +156,29 @@
     assert!(count("taken=") == count("served=") && count("taken=") != Some("2".into()), "{counted}");
 }
 
+/// Guards against keeping to a deadline that lies past the program's end: what was in hand at SIGTERM was lost with
+/// the process, sent or held.
+#[test]
+fn after_sigterm_what_is_in_hand_is_answered_before_the_end_however_late_its_deadline() {
+    let long = SETTINGS.replace(r#""deadline":2.0"#, r#""deadline":15.0"#);
+    let brick = Brick::start(|_, _| Step::Silent);
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let text = config(&discovery, 1024, "null").replace(SETTINGS, &long);
+    let mut head = Head::start_text(&text, None, &[]);
+    let (mut sent, mut held) = (Client::new(head.http), Client::new(head.http));
+    sent.send(&read(15.0), b"");
+    brick.wait_for(1);
+    held.send(&read(15.0).replace("shard=0", "shard=7"), b"");
+    wait(|| (head.counter("taken") == 2).then_some(()));
+    let told = Instant::now();
+    head.signal("-TERM");
+    let answers = [sent, held].map(|mut client| client.answer().map(|answer| answer.status()));
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
+    assert_eq!(answers, [Some(502), Some(503)], "what was sent may have run, what was held never did");
+    assert!(head.ended());
+    assert!(head.logged("connections still open").is_none());
+}
+
 /// Guards against closing, unread, what was accepted late: its request was taken once it was written.
 #[test]
 fn a_connection_accepted_after_the_idle_ones_were_closed_is_still_served() {
@@ -410,6 +433,21 @@
     assert!(place("daemon: Ready") < place("watch ended: silent"));
 }
 
+/// Guards against a restarted head of a large fleet that waits for its turn before it asks an agent of its own: what
+/// that holds counts as told, and the list of the earlier life names nodes that drain.
+#[test]
+fn where_changes_are_pushed_a_head_of_many_begins_with_the_list_its_agent_holds() {
+    let old = Brick::start(|_, _| Step::Serve(b"old".to_vec()));
+    let new = Brick::start(|_, _| Step::Serve(b"new".to_vec()));
+    let discovery = Discovery::start(&[entry("s-1", old.address, 0, "ready")]);
+    discovery.push(&[entry("s-1", old.address, 0, "draining"), entry("s-2", new.address, 0, "ready")]);
+    let many =
+        config(&discovery, 1024, &discovery.whole()).replace(r#""n_instances":1"#, r#""n_instances":300"#);
+    let head = Head::start_text(&many, None, &[]);
+    assert_eq!(Client::new(head.http).ask(&read(2.0), b"").body, b"new");
+    assert_eq!((old.seen().len(), head.logged("earlier life")), (0, None));
+}
+
 /// Guards against calling a reset what never ran: a break before the last byte proves that it did not.
 #[test]
 fn a_break_before_the_last_byte_never_ran_and_one_after_it_may_have() {
