Take from a source that is behind the old one no drained node as ready

Seen: nothing broken yet. But `Directory::moved` applied what the new source said whole, whatever its version: one that is behind would have called a node ready again that the old source told to drain, and every head of the fleet is moved at once.

Change: a list of a lower version is asked for again for up to 5 s (what is told counts as told after 6). Until then all of it is taken but that a node is ready which was told to drain or to be gone and has not started since: so a drain that only the new source tells counts at once, new nodes serve, and the watch on the old source goes on. A source that counts its versions anew is taken whole after that time. A source that changes in the middle of a call is no longer applied.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -23,7 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long a call for the list may take; the agent is on this machine and silent when it is cut off. Where many
 /// heads ask, calls wait in turn: one that is given up early has only made the queue longer.
@@ -31,6 +31,9 @@
 const LONGEST_CALL: Duration = Duration::from_secs(4);
 /// A watch that stays silent this long is dead: an empty line is due every 2 s.
 const SILENCE: Duration = Duration::from_secs(3);
+/// How long a new source may be behind what the old one told before its list is taken all the same, since its versions
+/// may be counted anew: what discovery has to tell counts as told 6 s later.
+const BEHIND: Duration = Duration::from_secs(5);
 /// Longest line, and longest list, that is read.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -289,7 +292,7 @@
     }
 
     /// Fetches the whole list once.
-    pub async fn fetch(&self, address: SocketAddr) -> Result<(), DiscoveryError> {
+    async fn fetch(&self, address: SocketAddr) -> Result<List, DiscoveryError> {
         let call = async {
             let (response, guard) = get(address, "/api/targets".into()).await?;
             let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
@@ -303,8 +306,19 @@
         if !list.all {
             return Err(DiscoveryError::NotWhole);
         }
-        self.apply(&list, ListKind::Whole);
-        Ok(())
+        Ok(list)
+    }
+
+    /// What can be taken of a list that may be older than what is known: all but that a node is ready which was told to
+    /// drain or to be gone, and has not started since.
+    fn safe(&self, mut list: List) -> List {
+        let (names, seen) = (self.names.borrow(), self.seen.borrow());
+        list.targets.retain(|target| match names.get(&target.uid) {
+            _ if target.state != "ready" => true,
+            Some(known) => known.info.state == NodeState::Ready || target.boot_ms / 1000.0 > known.info.since,
+            None => !seen.known.contains(&target.uid),
+        });
+        List { rev: self.version.get(), all: false, targets: list.targets }
     }
 
     /// Watches the changes after the version known, until the watch ends.
@@ -349,7 +363,10 @@
         while !known {
             let address = *source.borrow_and_update();
             match self.fetch(address).await {
-                Ok(()) => known = true,
+                Ok(list) => {
+                    self.apply(&list, ListKind::Whole);
+                    known = true;
+                }
                 Err(problem) => {
                     log::warn!("discovery: no list: {problem}");
                     tokio::select! {
@@ -371,23 +388,40 @@
 
     /// Waits until the list has another source and that source's list is in, whole. What one source says of
     /// versions means nothing to another, so its watch starts from its own list; until then the nodes known
-    /// serve, and the watch on the old source goes on for as long as that lets it.
+    /// serve, and the watch on the old source goes on for as long as that lets it. But a source of the same list may
+    /// be behind the old one: what is safe of a lower version is taken at once, and the rest only some time later.
     async fn moved(&self, source: &mut watch::Receiver<SocketAddr>) {
         if source.changed().await.is_err() {
             // No other source will ever be named.
             return std::future::pending().await;
         }
         let mut back_off = self.pacing.back_off();
+        let mut until = Instant::now() + BEHIND;
         loop {
             let address = *source.borrow_and_update();
-            match self.fetch(address).await {
-                Ok(()) if source.has_changed().is_ok_and(|changed| changed) => continue,
-                Ok(()) => return log::info!("discovery: now at {address}, version {}", self.version.get()),
+            let fetched = self.fetch(address).await;
+            if source.has_changed().is_ok_and(|changed| changed) {
+                until = Instant::now() + BEHIND;
+                continue;
+            }
+            match fetched {
+                Ok(list) if list.rev < self.version.get() && Instant::now() < until => {
+                    let (version, known) = (list.rev, self.version.get());
+                    log::warn!("discovery: {address} is at version {version}, behind {known}");
+                    self.apply(&self.safe(list), ListKind::Changes);
+                }
+                Ok(list) => {
+                    self.apply(&list, ListKind::Whole);
+                    return log::info!("discovery: now at {address}, version {}", list.rev);
+                }
                 Err(problem) => log::warn!("discovery: no list at {address}: {problem}"),
             }
             tokio::select! {
                 () = sleep(back_off.pause()) => {}
-                _ = source.changed() => back_off.restart(),
+                _ = source.changed() => {
+                    back_off.restart();
+                    until = Instant::now() + BEHIND;
+                }
             }
         }
     }
