Count units against the limit at each attempt until one is known to have reached a node

At fault by the protocol: `send` took a request's units at its first attempt alone, and `standing` let a further one by without a look at the limit. On the wire a request takes them once its last byte has reached a node. An attempt that could not connect never does, one that was reset or timed out in a cut may not have; what is sent again after the cut then counts for the first time, beside a store that has filled up since.

Change: each attempt takes its units, and waits for them, until one ended with an error or was turned away, which tells that the node had it whole. A further attempt that can't get them before its deadline is given up at once.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -98,6 +98,11 @@
         self.attempts.iter().filter(|a| a.outcome.is_none_or(|o| !o.never_ran()))
     }
 
+    /// Rule 5: whether a node is known to have had it whole; until then each attempt may be what counts.
+    fn taken(&self) -> bool {
+        self.attempts.iter().any(|a| matches!(a.outcome, Some(Outcome::Full | Outcome::Error)))
+    }
+
     /// Rule 2: whether a refusal, which tells the client that a repeat is harmless, may be given.
     fn may_refuse(&self, repeat: Repeat) -> bool {
         let free = matches!(repeat, Repeat::Safe | Repeat::Keyed { group: RepeatGroup::All, .. });
@@ -545,14 +550,14 @@
         let queued: Vec<RequestId> = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id).collect();
         for id in queued {
             let (held, now) = (&self.held[&id], self.now);
-            let (class, first) = (held.ask.class.0, held.attempts.is_empty());
+            let (class, first, taken) = (held.ask.class.0, held.attempts.is_empty(), held.taken());
             let ends = held.window_end(self.set.classes[class].repeat);
             let late_at = held.aim_at - self.lanes[&held.lane].latency[class];
-            let last = held.arrived + patience * (held.deadline - held.arrived);
+            let last = held.arrived + if first { patience } else { 1.0 } * (held.deadline - held.arrived);
             let next = if late_at > now { late_at } else { last };
             self.blocked_until = self.blocked_until.min(if first { next.min(ends) } else { ends });
             let in_time = late_at > now && now + self.limit_in(id, false) <= late_at;
-            let never = first && !in_time && now + self.limit_in(id, true) > last;
+            let never = !taken && !in_time && now + self.limit_in(id, true) > last;
             if never || now + self.set.tick >= ends {
                 self.answer(id, actions);
             }
@@ -873,10 +878,11 @@
             self.blocked_until = self.blocked_until.min(now + self.tightest / 8.0);
             return None;
         }
-        if !held.attempts.is_empty() {
-            return self.budget_left().then_some(standing);
+        let (further, taken) = (!held.attempts.is_empty(), held.taken());
+        if further && !self.budget_left() {
+            return None;
         }
-        let wait = self.limit_in(id, late);
+        let wait = if taken { 0.0 } else { self.limit_in(id, late) };
         if wait > 0.0 {
             self.blocked_until = self.blocked_until.min(now + wait);
         }
@@ -906,17 +912,16 @@
         lane.warming.sent(units);
         lane.out.push(Out { at: now, id, passed: 0 });
         lane.was_full |= lane.out.len() >= lane.window as usize;
-        let first = held.attempts.is_empty();
+        let (first, taken) = (held.attempts.is_empty(), held.taken());
         held.queued = false;
         held.attempts.push(Attempt { shard, zone: target.zone, epoch: lane.epoch, at: now, outcome: None });
         // What only shows whether the way is open need not wait out its client's time.
         let abandon_at = held.deadline.min(if tries { now + TRIAL * self.tightest } else { f64::INFINITY });
         actions.push(Action::Send { request: id, node: target.node, abandon_at });
         let (volume, plan) = (held.ask.volume, held.ask.plan);
-        if !first {
-            self.further.extend(self.set.budget.map(|_| now));
-        } else if let Some((volume, _)) = self.refill(volume, plan) {
-            volume.reserve = (volume.reserve - units).max(0.0);
+        self.further.extend(self.set.budget.filter(|_| !first).map(|_| now));
+        if let Some((volume, _)) = self.refill(volume, plan).filter(|_| !taken) {
+            volume.reserve = (volume.reserve - if first { units } else { 0.0 }).max(0.0);
             volume.limit -= units;
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -193,6 +193,21 @@
     assert!(units > 20.0, "the limit is used");
 }
 
+/// Guards against a cut zone: what never reached a node, or was lost on the way, takes its units when a later attempt
+/// does. Counted at its first send alone, its volume's store was full again by then, and both went at once.
+#[test]
+fn an_attempt_that_reached_nobody_draws_from_the_limit_when_it_is_sent_again() {
+    for outcome in [Outcome::ConnectFailed, Outcome::Reset, Outcome::Timeout] {
+        let mut rig = Rig::new(settings());
+        let limited = |id| Request { plan: LIMITED, volume: VolumeId(9), ..request(id, SAFE) };
+        let first = Request { units: 10.48, ..limited(9) };
+        assert_eq!(sent(&rig.ask(first)), [9], "the cushion and the slack");
+        let mut again = sent(&rig.outcome(9, 0, outcome, 0.001));
+        again.extend(sent(&rig.wait(0.2)));
+        assert!(again.is_empty(), "{outcome:?}: its units are not there a second time");
+    }
+}
+
 #[test]
 fn a_further_attempt_draws_nothing_from_the_limit() {
     let mut rig = Rig::new(settings());
