--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -395,32 +395,29 @@
             // No other source will ever be named.
             return std::future::pending().await;
         }
-        let mut back_off = self.pacing.back_off();
-        let mut until = Instant::now() + BEHIND;
-        loop {
-            let address = *source.borrow_and_update();
-            let fetched = self.fetch(address).await;
-            if source.has_changed().is_ok_and(|changed| changed) {
-                until = Instant::now() + BEHIND;
-                continue;
-            }
-            match fetched {
-                Ok(list) if list.rev < self.version.get() && Instant::now() < until => {
-                    let (version, known) = (list.rev, self.version.get());
-                    log::warn!("discovery: {address} is at version {version}, behind {known}");
-                    self.apply(&self.safe(list), ListKind::Changes);
+        'source: loop {
+            let (address, until) = (*source.borrow_and_update(), Instant::now() + BEHIND);
+            let mut back_off = self.pacing.back_off();
+            loop {
+                let fetched = self.fetch(address).await;
+                if source.has_changed().is_ok_and(|changed| changed) {
+                    continue 'source;
                 }
-                Ok(list) => {
-                    self.apply(&list, ListKind::Whole);
-                    return log::info!("discovery: now at {address}, version {}", list.rev);
+                match fetched {
+                    Ok(list) if list.rev < self.version.get() && Instant::now() < until => {
+                        let (version, known) = (list.rev, self.version.get());
+                        log::warn!("discovery: {address} is at version {version}, behind {known}");
+                        self.apply(&self.safe(list), ListKind::Changes);
+                    }
+                    Ok(list) => {
+                        self.apply(&list, ListKind::Whole);
+                        return log::info!("discovery: now at {address}, version {}", list.rev);
+                    }
+                    Err(problem) => log::warn!("discovery: no list at {address}: {problem}"),
                 }
-                Err(problem) => log::warn!("discovery: no list at {address}: {problem}"),
-            }
-            tokio::select! {
-                () = sleep(back_off.pause()) => {}
-                _ = source.changed() => {
-                    back_off.restart();
-                    until = Instant::now() + BEHIND;
+                tokio::select! {
+                    () = sleep(back_off.pause()) => {}
+                    _ = source.changed() => continue 'source,
                 }
             }
         }
