Ask once more whether a node takes work, with the first byte of each request

Cause: whether a node takes work was looked at when an attempt began and once its connection stood (node.rs, attempt), in two places of their own, and not where the first byte is written.

Change: Gate::admits is the one place that decides; the connection asks it in poll_write until the first byte is out, so that it covers each way to the socket (new, pooled or slow connections, repeats, bodies still to come). What it holds back was not written and is told to the module as not sent; a log line names the address, the stage and the age of the news.

Measured: the order of news and writes for a node that drains, is gone or has moved, before and after the first byte (node::tests).

--- a/src/node.rs
+++ b/src/node.rs
@@ -65,6 +65,43 @@
     pub state: NodeState,
 }
 
+/// How far an attempt has come when it is asked whether its node still takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The module chose the node.
+    Chosen,
+    /// A connection stands.
+    Connected,
+    /// The first byte is about to be written.
+    FirstByte,
+}
+
+/// What a connection asks before the first byte of a request.
+struct Gate {
+    pools: Rc<RefCell<Pools>>,
+    node: NodeId,
+    address: SocketAddr,
+}
+
+impl Gate {
+    /// The one place where it is decided whether a node may get a request: by what is known of it at this moment.
+    fn admits(&self, stage: Stage) -> bool {
+        let pools = self.pools.borrow();
+        let place = pools.places.get(&self.node);
+        if place.is_some_and(|(p, _)| p.state == NodeState::Ready && p.address == self.address) {
+            return true;
+        }
+        let news = match place {
+            Some((place, at)) => {
+                format!("{:?} at {}, heard {:?} ago", place.state, place.address, at.elapsed())
+            }
+            None => "gone".into(),
+        };
+        log::info!("node: nothing new to {} ({stage:?}): {news}", self.address);
+        false
+    }
+}
+
 /// How far the exchange that a connection carries has come.
 #[derive(Default)]
 struct Progress {
@@ -79,11 +116,16 @@
     interim: Arc<AtomicBool>,
     /// The other side ended the connection.
     ended: Cell<bool>,
+    /// Whether the request may begin; asked until its first byte is written.
+    gate: RefCell<Option<Gate>>,
+    /// It may not: nothing of it was written.
+    withheld: Cell<bool>,
 }
 
 impl Progress {
     /// Before a request.
-    fn restart(&self, body_taken: bool) {
+    fn restart(&self, body_taken: bool, gate: Gate) {
+        self.gate.replace(Some(gate));
         self.body_taken.set(body_taken);
         self.wrote.set(false);
         self.whole.set(false);
@@ -92,6 +134,15 @@
         self.interim.store(false, Ordering::Relaxed);
     }
 
+    /// Asks, before the first byte of a request, whether its node still takes work.
+    fn begin(&self) -> io::Result<()> {
+        if self.wrote.get() || self.gate.borrow().as_ref().is_none_or(|gate| gate.admits(Stage::FirstByte)) {
+            return Ok(());
+        }
+        self.withheld.set(true);
+        Err(io::Error::other("the node takes no more work"))
+    }
+
     /// When the answer must be whole at the latest.
     fn due(&self, until: Instant) -> Instant {
         if self.interim.swap(false, Ordering::Relaxed) {
@@ -166,18 +217,23 @@
 }
 
 impl Watched {
-    fn note(&self, written: &Poll<io::Result<usize>>) {
+    /// Writes, unless it would be the first byte to a node that takes no more work.
+    fn guarded(
+        &self,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        self.progress.begin()?;
+        let written = write(Pin::new(&mut *self.stream.borrow_mut()));
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.progress.wrote.set(true);
         }
+        written
     }
 }
 
 impl AsyncWrite for Watched {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
-        self.note(&written);
-        written
+        self.guarded(|stream| stream.poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
@@ -185,9 +241,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.note(&written);
-        written
+        self.guarded(|stream| stream.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -267,14 +321,15 @@
 
 #[derive(Default)]
 struct Pools {
-    places: HashMap<NodeId, Place>,
+    /// The nodes that are listed, and when each got the state and the address that it has.
+    places: HashMap<NodeId, (Place, Instant)>,
     idle: HashMap<NodeId, Vec<(u64, Link)>>,
     next: u64,
 }
 
 impl Pools {
     fn ready(&self, node: NodeId) -> Option<SocketAddr> {
-        self.places.get(&node).filter(|p| p.state == NodeState::Ready).map(|p| p.address)
+        self.places.get(&node).filter(|(p, _)| p.state == NodeState::Ready).map(|(p, _)| p.address)
     }
 }
 
@@ -355,11 +410,11 @@
     /// idle connections.
     pub fn place(&self, node: NodeId, place: Place) {
         let mut pools = self.pools.borrow_mut();
-        let before = pools.places.insert(node, place.clone());
-        let lost = match before {
-            Some(before) if before.address == place.address && place.state == NodeState::Ready => None,
-            _ => pools.idle.remove(&node),
-        };
+        let before = pools.places.get(&node).filter(|(before, _)| *before == place).map(|(_, at)| *at);
+        let moved = pools.places.get(&node).is_none_or(|(before, _)| before.address != place.address);
+        let stays = place.state == NodeState::Ready && !moved;
+        pools.places.insert(node, (place, before.unwrap_or_else(Instant::now)));
+        let lost = if stays { None } else { pools.idle.remove(&node) };
         drop(pools);
         drop(lost);
     }
@@ -456,7 +511,10 @@
     }
 
     async fn attempt(&self, node: NodeId, envelope: &Envelope, until: Instant) -> Reply {
-        let Some(address) = self.ready(node) else { return Reply::empty(Outcome::Moot) };
+        let Some(address) = self.ready(node) else {
+            log::info!("node: nothing new to node {} ({:?})", node.0, Stage::Chosen);
+            return Reply::empty(Outcome::Moot);
+        };
         let mut link = match self.pooled(node).await {
             Some(link) => link,
             None => match self.connect(address, until).await {
@@ -465,12 +523,13 @@
             },
         };
         // A slow connect may have outlasted the node's readiness.
-        if self.ready(node) != Some(address) {
+        let gate = Gate { pools: self.pools.clone(), node, address };
+        if !gate.admits(Stage::Connected) {
             return Reply::empty(Outcome::Moot);
         }
         let upload = envelope.payload.upload().cloned();
         let empty = matches!(&envelope.payload, Payload::Whole(bytes) if bytes.is_empty());
-        link.progress.restart(empty);
+        link.progress.restart(empty, gate);
         let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
         let Some(request) = request(envelope, address, left, &link.progress) else {
             return Reply::empty(Outcome::Moot);
@@ -495,6 +554,7 @@
         let ended = link.drive(work, || upload.as_ref().map_or(until, |upload| upload.until())).await;
         let progress = &link.progress;
         match ended {
+            None | Some(Err(_)) if progress.withheld.get() => Reply::empty(Outcome::Moot),
             // Never whole at the node, so it never began.
             None | Some(Err(_)) if !progress.whole.get() => Reply::empty(Outcome::ConnectFailed),
             None if progress.heard.get().is_none() => Reply::empty(Outcome::Timeout),
@@ -585,3 +645,54 @@
     let load: HashMap<String, f64> = load.and_then(|l| serde_json::from_slice(l).ok()).unwrap_or_default();
     (used, crate::config::report(load.iter().map(|(name, value)| (name.as_str(), *value))))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// Guards against a first byte to a node that left after its connection was chosen, by whatever way it took from
+    /// there to the socket: each order of news and writes, with the node draining, gone, or at another address.
+    #[test]
+    fn the_first_byte_asks_once_more_and_later_ones_do_not() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let counters = Rc::new(Counters::default());
+            let budget = Budget::new(100, counters.clone());
+            let nodes = Nodes::new(budget, Memory::new(32), counters, 5.0, 15.0, 1);
+            let node = NodeId(1);
+            let other = SocketAddr::from(([127, 0, 0, 2], address.port()));
+            let news: [&dyn Fn(); 3] = [
+                &|| nodes.place(node, Place { address, state: NodeState::Draining }),
+                &|| nodes.forget(node),
+                &|| nodes.place(node, Place { address: other, state: NodeState::Ready }),
+            ];
+            for (news, early) in news.iter().flat_map(|news| [(news, true), (news, false)]) {
+                nodes.place(node, Place { address, state: NodeState::Ready });
+                let stream = TcpStream::connect(address).await.expect("a connection");
+                let (mut peer, _) = listener.accept().await.expect("a connection");
+                let (stream, progress) = (Rc::new(RefCell::new(stream)), Rc::new(Progress::default()));
+                let gate = Gate { pools: nodes.pools.clone(), node, address };
+                assert!(gate.admits(Stage::Connected));
+                progress.restart(true, gate);
+                let mut wire = Watched { stream, progress: progress.clone() };
+                if early {
+                    news();
+                    assert!(wire.write_all(b"GET").await.is_err());
+                } else {
+                    wire.write_all(b"GET").await.expect("admitted");
+                    news();
+                    wire.write_all(b" /").await.expect("begun, it goes on");
+                }
+                assert_eq!((progress.withheld.get(), progress.wrote.get()), (early, !early));
+                drop(wire);
+                let mut seen = Vec::new();
+                peer.read_to_end(&mut seen).await.expect("its end");
+                assert_eq!(seen, if early { b"".as_slice() } else { b"GET /" });
+            }
+        });
+    }
+}
