Wait for a head's own agent at a start, for two calls instead of 150 ms

Cause: a head that starts with the list of an earlier life went into service after LIST_PATIENCE, 150 ms, whatever its agent (daemon.rs, obtain_list). What that agent holds counts as told, so a slow one meant requests to nodes known to leave.

Change: where changes are pushed, a start waits up to 2.5 s, two calls with their pauses, before the earlier list has to do. Where all heads share discovery it stays at 150 ms: the service may be overbooked for long. After a watch that stayed silent the first pause is halved; a test adds up the time limits and pauses against the 6 s after which a change counts as told, and the 250 ms.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -42,10 +42,6 @@
 /// clients go on using the connections they have, and find no other head for their volumes.
 const WIND_UP: Duration = Duration::from_millis(450);
 const LAST_ANSWER: Duration = Duration::from_millis(100);
-/// How long news of the list are waited for before the list known from an earlier life has to do: a volume's
-/// clients have only its heads, and an overbooked discovery may take long.
-const LIST_PATIENCE: Duration = Duration::from_millis(150);
-
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 
@@ -406,7 +402,7 @@
     let ready = async {
         if !stands {
             directory.heard().await;
-        } else if timeout(LIST_PATIENCE, directory.heard()).await.is_err() {
+        } else if timeout(directory.start_patience(), directory.heard()).await.is_err() {
             log::warn!("daemon: in service with the list of an earlier life");
         }
         serve();
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::core::Dispatcher;
 use crate::counters::Counters;
 use crate::node::{Nodes, Place};
-use crate::pacing::Pacing;
+use crate::pacing::{Pacing, SILENCE};
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -25,12 +25,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-/// How long a call for the list may take; the agent is on this machine and silent when it is cut off. Where many
-/// heads ask, calls wait in turn: one that is given up early has only made the queue longer.
-const CALL: Duration = Duration::from_secs(1);
-const LONGEST_CALL: Duration = Duration::from_secs(4);
-/// A watch that stays silent this long is dead: an empty line is due every 2 s.
-const SILENCE: Duration = Duration::from_secs(3);
 /// How long a new source may be behind what the old one told before its list is taken all the same, since its versions
 /// may be counted anew: what discovery has to tell counts as told 6 s later.
 const BEHIND: Duration = Duration::from_secs(5);
@@ -182,8 +176,9 @@
         let _ = self.heard.subscribe().wait_for(|heard| *heard).await;
     }
 
-    fn patience(&self) -> Duration {
-        CALL.mul_f64(self.pacing.fleet()).min(LONGEST_CALL)
+    /// How long a start with the list of an earlier life waits for discovery.
+    pub fn start_patience(&self) -> Duration {
+        self.pacing.start()
     }
 
     /// How many nodes are on the list, and how many of them get no work.
@@ -300,7 +295,7 @@
             drop(guard);
             Ok::<_, DiscoveryError>(body)
         };
-        let patience = self.patience();
+        let patience = self.pacing.call();
         let body = timeout(patience, call).await.map_err(|_| DiscoveryError::Silent(patience))??;
         let list: List = serde_json::from_slice(&body)?;
         if !list.all {
@@ -324,7 +319,7 @@
     /// Watches the changes after the version known, until the watch ends.
     async fn watch(&self, address: SocketAddr, opened: &Cell<bool>) -> Result<(), DiscoveryError> {
         let path = format!("/api/targets?follow=1&since={}", self.version.get());
-        let patience = self.patience();
+        let patience = self.pacing.call();
         let call = timeout(patience, get(address, path)).await;
         let (response, _guard) = call.map_err(|_| DiscoveryError::Silent(patience))??;
         opened.set(true);
@@ -427,12 +422,15 @@
     async fn keep_watch(&self, address: SocketAddr) {
         let (mut back_off, opened) = (self.pacing.back_off(), Cell::new(false));
         loop {
-            if let Err(problem) = self.watch(address, &opened).await {
+            let ended = self.watch(address, &opened).await;
+            if let Err(problem) = &ended {
                 log::warn!("discovery: watch ended: {problem}");
             }
             self.counters.watches_lost.add();
-            if opened.replace(false) {
-                back_off.restart();
+            match (opened.replace(false), ended) {
+                (true, Err(DiscoveryError::Silent(_))) => back_off.restart_late(),
+                (true, _) => back_off.restart(),
+                _ => {}
             }
             sleep(back_off.pause()).await;
         }
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -15,6 +15,17 @@
 /// But no longer than this: what discovery has to tell counts as told 6 s later, asked for or not, and a call may
 /// wait 2 s there for its turn.
 const LATEST: Duration = Duration::from_secs(4);
+/// How long a call for the list may take. Where many heads ask, calls wait in turn: one that is given up early has only
+/// made the queue longer.
+const CALL: Duration = Duration::from_secs(1);
+const LONGEST_CALL: Duration = Duration::from_secs(4);
+/// A watch that stays silent this long is dead: an empty line is due every 2 s.
+pub const SILENCE: Duration = Duration::from_secs(3);
+/// How long a head that starts waits for discovery before the list of an earlier life has to do. A volume's clients
+/// have only its heads, and a service that all share may be overbooked for long. An agent of the head's own answers
+/// at once unless it is cut off, and what it holds counts as told from the first request on: two calls may fail.
+const OVERBOOKED: Duration = Duration::from_millis(150);
+const OWN_AGENT: Duration = Duration::from_millis(2500);
 /// Longest pause of a larger fleet, for each time that it holds a small one: a service that is behind catches up
 /// only once its calls are fewer than it can do.
 const FLEET_LONGEST: Duration = Duration::from_secs(2);
@@ -25,6 +36,7 @@
 pub struct Pacing {
     /// How many times the fleet is larger than a small one, 1 at least.
     fleet: f64,
+    shared: bool,
     chance: Cell<u64>,
 }
 
@@ -34,12 +46,17 @@
     /// what it holds counts as told: to wait before asking it is to use a list that is known to be old.
     pub fn new(hosts: u32, seed: u64, shared: bool) -> Pacing {
         let fleet = if shared { (f64::from(hosts) / f64::from(SMALL_FLEET)).max(1.0) } else { 1.0 };
-        Pacing { fleet, chance: Cell::new(seed | 1) }
+        Pacing { fleet, shared, chance: Cell::new(seed | 1) }
     }
 
-    /// How many times the fleet is larger than a small one, 1 at least.
-    pub fn fleet(&self) -> f64 {
-        self.fleet
+    /// How long a call for the list may take.
+    pub fn call(&self) -> Duration {
+        CALL.mul_f64(self.fleet).min(LONGEST_CALL)
+    }
+
+    /// How long news of the list are waited for at a start with the list of an earlier life.
+    pub fn start(&self) -> Duration {
+        if self.shared { OVERBOOKED } else { OWN_AGENT }
     }
 
     fn spread(&self) -> Duration {
@@ -82,6 +99,12 @@
         self.next = if self.pacing.fleet > 1.0 { self.pacing.spread() } else { FIRST_PAUSE };
     }
 
+    /// After a watch that stayed silent: all that time was lost already, and no head noticed at the same moment.
+    pub fn restart_late(&mut self) {
+        self.restart();
+        self.next /= 2;
+    }
+
     /// The next pause.
     pub fn pause(&mut self) -> Duration {
         let (fleet, draw) = (self.pacing.fleet, self.pacing.draw());
@@ -147,10 +170,31 @@
     #[test]
     fn an_agent_of_the_heads_own_is_asked_at_once_however_large_the_fleet() {
         let pacing = Pacing::new(300, 5, false);
-        assert_eq!((pacing.first(), pacing.fleet()), (Duration::ZERO, 1.0));
+        assert_eq!((pacing.first(), pacing.call()), (Duration::ZERO, CALL));
         assert!(pacing.back_off().pause() < Duration::from_millis(100));
     }
 
+    /// Guards against time limits and pauses that add up to more than the 6 s after which a change counts as told, and
+    /// the 250 ms in which the last send may follow: a change that comes right after a watch fell silent, with the
+    /// first call after it lost as well; in a fleet that shares its discovery, with a second to wait for a turn there.
+    #[test]
+    fn a_silent_watch_is_made_up_for_before_a_change_counts_as_told() {
+        let told = Duration::from_millis(6250);
+        for seed in 1..1000u64 {
+            let own = Pacing::new(350, seed.wrapping_mul(0x9E37_79B9_7F4A_7C15), false);
+            let mut back_off = own.back_off();
+            back_off.restart_late();
+            assert!(
+                SILENCE + back_off.pause() + own.call() + back_off.pause() + own.call() <= told,
+                "{seed}"
+            );
+            let one = Pacing::new(1024, seed.wrapping_mul(0x9E37_79B9_7F4A_7C15), true);
+            let mut back_off = one.back_off();
+            back_off.restart_late();
+            assert!(SILENCE + back_off.pause() + Duration::from_secs(1) <= told, "{seed}");
+        }
+    }
+
     /// Guards against a fleet that comes back to discovery all at once, or so often that it never catches up.
     #[test]
     fn the_pauses_of_a_fleet_differ_and_grow_until_its_calls_are_few() {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -319,10 +319,15 @@
 
 /// A configuration's text.
 pub fn config(discovery: &Discovery, sockets: usize, known: &str) -> String {
+    config_at(discovery.address, sockets, known)
+}
+
+/// The same with discovery at an address.
+pub fn config_at(discovery: SocketAddr, sockets: usize, known: &str) -> String {
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#,
-        discovery.address
+        discovery
     )
 }
 
@@ -509,3 +514,92 @@
         )
     }
 }
+
+/// What an agent does next on one connection.
+pub enum Say {
+    Pause(Duration),
+    /// A line of a watch, or the text of a whole list.
+    Line(String),
+    /// Bytes as they are.
+    Raw(Vec<u8>),
+    /// Nothing any more, and the connection stays open.
+    Hold,
+    /// The connection ends.
+    Close,
+}
+
+/// An agent of the head's own that answers each call by a script, given the call's number and first line. After its
+/// last word a watch gets an empty line each second.
+pub struct Agent {
+    pub address: SocketAddr,
+    asked: Arc<Mutex<Vec<String>>>,
+}
+
+impl Agent {
+    pub fn start(script: impl Fn(usize, &str) -> Vec<Say> + Send + Sync + 'static) -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (asked, script) = (Arc::new(Mutex::new(Vec::new())), Arc::new(script));
+        let calls = asked.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (calls, script) = (calls.clone(), script.clone());
+                thread::spawn(move || {
+                    let out = stream.try_clone().expect("a handle");
+                    let Some(message) = Message::read(&mut BufReader::new(stream)) else { return };
+                    let number = {
+                        let mut calls = calls.lock().expect("asked");
+                        calls.push(message.line.clone());
+                        calls.len() - 1
+                    };
+                    Agent::answer(out, message.line.contains("follow=1"), script(number, &message.line));
+                });
+            }
+        });
+        Agent { address, asked }
+    }
+
+    fn answer(mut out: TcpStream, watch: bool, says: Vec<Say>) -> Option<()> {
+        let mut begun = !watch;
+        for say in says {
+            if let Say::Pause(time) = say {
+                thread::sleep(time);
+                continue;
+            }
+            if !std::mem::replace(&mut begun, true) {
+                out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+            }
+            match say {
+                Say::Line(text) if watch => {
+                    out.write_all(format!("{:x}\r\n{text}\n\r\n", text.len() + 1).as_bytes()).ok()?;
+                }
+                Say::Line(text) => {
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+                    out.write_all(&[head.as_bytes(), text.as_bytes()].concat()).ok()?;
+                }
+                Say::Raw(bytes) => out.write_all(&bytes).ok()?,
+                Say::Hold => loop {
+                    thread::sleep(PATIENCE);
+                },
+                Say::Close | Say::Pause(_) => return None,
+            }
+        }
+        if !watch {
+            return None;
+        }
+        loop {
+            thread::sleep(Duration::from_secs(1));
+            out.write_all(b"1\r\n\n\r\n").ok()?;
+        }
+    }
+
+    /// The calls so far, by their first lines.
+    pub fn asked(&self) -> Vec<String> {
+        self.asked.lock().expect("asked").clone()
+    }
+}
+
+/// A list's text.
+pub fn list(rev: u64, all: bool, entries: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, entries.join(","))
+}
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -441,15 +441,16 @@
     assert!(head.counter("connect_failed") >= 1);
 }
 
-/// Guards against a start that waits for a discovery which is overbooked and does not answer.
+/// Guards against a start that waits for a discovery which all heads share, which is overbooked and does not answer.
 #[test]
 fn a_known_list_serves_before_discovery_has_answered() {
     let brick = Brick::start(|_, _| Step::Serve(vec![]));
     let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
     let mute = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut silent = discovery.clone();
-    silent.address = mute.local_addr().expect("an address");
-    let head = Head::start_with(&silent, None, &[], 1024, &discovery.whole());
+    let silent = mute.local_addr().expect("an address");
+    let asks = config_at(silent, 1024, &discovery.whole())
+        .replace(r#""membership_mode":"push""#, r#""membership_mode":"ask""#);
+    let head = Head::start_text(&asks, None, &[]);
     assert_eq!(Client::new(head.http).ask(&read(2.0), b"").status(), 200);
     wait(|| head.logged("watch ended: silent"));
     let lines = head.log();
