Let no older list call a leaving node ready, whatever source or life it comes from

Cause: Directory::apply took each list as it came. Only the fetch after SIGHUP compared versions, and for 5 s only (safe, moved); the first line of a watch did not, nor a watch after a restart, so that a source behind the earlier life's list, by its whole list or by telling again what is past, called a drained node ready, and so did a source whose versions are counted anew. Against stand-ins the untouched program sent requests to such nodes in each case (stories_leaving, "left: 200").

Change: crates/roster holds which word on a node stands, without clock or sockets. A node that was told to leave takes work again only after a start later than that, or by a newer word of the same count of versions. Leaving words count whoever tells them. A source behind for 5 s is counted anew; even then it brings back nothing that was told to leave but by its own later word. Entries are read one by one. A node that is gone by a bare entry, or holds another shard, leaves the queue that it had in the module: before, its requests were tried at it three times.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::core::{Clock, Dispatcher};
 use crate::counters::Counters;
 use crate::descriptors::{Budget, Side};
-use crate::discovery::{Directory, List};
+use crate::discovery::Directory;
 use crate::export;
 use crate::front::block::BlockFront;
 use crate::front::block::config::{BlockConfigError, Target};
@@ -22,6 +22,8 @@
 use crate::pacing::Pacing;
 use crate::phases::{Phase, Phases};
 use crate::plugin::{Plugin, PluginError};
+use flaxgap_roster::Source;
+use flaxgap_roster::wire::List;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -388,7 +390,7 @@
     discovery: watch::Receiver<SocketAddr>,
     serve: impl FnOnce(),
 ) {
-    let known: Option<List> = known.and_then(|known| match serde_json::from_value(known) {
+    let known = known.and_then(|known| match List::from_value(known) {
         Ok(list) => Some(list),
         Err(problem) => {
             log::warn!("daemon: known list: {problem}");
@@ -396,8 +398,9 @@
         }
     });
     let stands = known.is_some_and(|list| {
-        directory.apply(&list, crate::api::ListKind::Cached);
-        !list.targets.is_empty()
+        let serves = !list.entries.is_empty();
+        directory.apply(list, &mut Source::default(), crate::api::ListKind::Cached);
+        serves
     });
     let ready = async {
         if !stands {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -7,14 +7,15 @@
 use crate::node::{Nodes, Place};
 use crate::pacing::{Pacing, SILENCE};
 use bytes::{Buf, Bytes, BytesMut};
+use flaxgap_roster::wire::{List, ListError, State};
+use flaxgap_roster::{Change, Roster, Source};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,11 +24,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
-/// How long a new source may be behind what the old one told before its list is taken all the same, since its versions
-/// may be counted anew: what discovery has to tell counts as told 6 s later.
-const BEHIND: Duration = Duration::from_secs(5);
+/// How often the whole list is asked for where versions are counted anew, before the watch is tried again.
+const MAKE_UP: usize = 3;
+/// Of the parts of one list that can't be read, so many are logged.
+const LOGGED: usize = 8;
 /// Longest line, and longest list, that is read.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -50,8 +52,8 @@
     #[error("status {0}")]
     Status(StatusCode),
     /// A list that can't be read.
-    #[error("list: {0}")]
-    List(#[from] serde_json::Error),
+    #[error(transparent)]
+    List(#[from] ListError),
     /// A call for the whole list brought only a part of it.
     #[error("list: not whole")]
     NotWhole,
@@ -64,44 +66,11 @@
     /// The watch was closed from the other side.
     #[error("the watch was closed")]
     Closed,
+    /// The source has been behind what is known for too long.
+    #[error("versions must be counted anew: at {0}, behind {1}")]
+    Anew(u64, u64),
 }
 
-/// The list, or changes of it, as discovery words them.
-#[derive(Debug, Deserialize)]
-pub struct List {
-    /// Version.
-    pub rev: u64,
-    /// Whether it is the whole list.
-    #[serde(default)]
-    pub all: bool,
-    /// The entries.
-    pub targets: Vec<Target>,
-}
-
-/// One entry of the list.
-#[derive(Debug, Deserialize)]
-pub struct Target {
-    /// The node's name among all heads.
-    pub uid: String,
-    /// Where this head reaches it.
-    #[serde(default)]
-    pub endpoint: String,
-    /// Its zone.
-    #[serde(default)]
-    pub az: String,
-    /// The shard it holds.
-    #[serde(default)]
-    pub pod_group: u32,
-    /// Whether it takes work.
-    pub state: String,
-    /// Its last start, in milliseconds of Unix time; 0 for long ago.
-    #[serde(default)]
-    pub boot_ms: f64,
-}
-
-/// How many names of nodes are known that were ever listed.
-const MOST_NAMES: usize = 4096;
-
 /// An entry as the list has it, without what operators say of it.
 #[derive(Clone)]
 struct Listed {
@@ -109,34 +78,17 @@
     address: Option<SocketAddr>,
 }
 
-/// Names that were listed once, the latest of them.
-#[derive(Default)]
-struct Seen {
-    known: HashSet<String>,
-    order: VecDeque<String>,
-}
-
-impl Seen {
-    fn note(&mut self, name: &str) {
-        if self.known.insert(name.into()) {
-            self.order.push_back(name.into());
-            let old = (self.order.len() > MOST_NAMES).then(|| self.order.pop_front()).flatten();
-            old.into_iter().for_each(|old| _ = self.known.remove(&old));
-        }
-    }
-}
-
 /// Keeps the module's list and the transport's places in step with discovery and with the operators' bans.
 pub struct Directory {
     dispatcher: Rc<Dispatcher>,
     nodes: Rc<Nodes>,
     counters: Rc<Counters>,
     bans: Rc<Bans>,
+    /// Which word on a node stands.
+    roster: RefCell<Roster>,
     names: RefCell<HashMap<String, Listed>>,
-    seen: RefCell<Seen>,
     named: Cell<u64>,
     zones: RefCell<Vec<String>>,
-    version: Cell<u64>,
     /// Turns true with the first list that discovery itself gives.
     heard: watch::Sender<bool>,
     pacing: Pacing,
@@ -153,21 +105,9 @@
         pacing: Pacing,
     ) -> Rc<Directory> {
         let heard = watch::Sender::new(false);
-        let (named, version, zones) = (Cell::new(0), Cell::new(0), RefCell::new(zones));
-        let (names, seen) = (RefCell::default(), RefCell::default());
-        Rc::new(Directory {
-            dispatcher,
-            nodes,
-            counters,
-            bans,
-            names,
-            seen,
-            named,
-            zones,
-            version,
-            heard,
-            pacing,
-        })
+        let (named, zones) = (Cell::new(0), RefCell::new(zones));
+        let (roster, names) = (RefCell::default(), RefCell::default());
+        Rc::new(Directory { dispatcher, nodes, counters, bans, roster, names, named, zones, heard, pacing })
     }
 
     /// Waits until discovery itself has given a list.
@@ -190,7 +130,7 @@
 
     /// Takes a node out by hand, or calls it back; false for one that was never listed.
     pub fn ban(&self, name: &str, out: bool) -> io::Result<bool> {
-        let known = self.seen.borrow().known.contains(name) || self.bans.names().iter().any(|n| n == name);
+        let known = self.roster.borrow().knows(name) || self.bans.names().iter().any(|n| n == name);
         if known {
             self.bans.set(name, out, self.dispatcher.clock().now())?;
             log::info!("discovery: {name}: {} by hand", if out { "out" } else { "back" });
@@ -223,58 +163,51 @@
     }
 
     /// Takes in a list: the transport first, so that nothing is written to a node that just left.
-    pub fn apply(&self, list: &List, kind: ListKind) {
+    pub fn apply(&self, list: List, source: &mut Source, kind: ListKind) {
         self.counters.list_changes.add();
-        self.heard.send_if_modified(|heard| kind != ListKind::Cached && !std::mem::replace(heard, true));
-        self.version.set(list.rev);
-        if kind != ListKind::Changes {
-            let listed: HashSet<&str> = list.targets.iter().map(|t| t.uid.as_str()).collect();
-            self.names.borrow_mut().retain(|name, node| {
-                let stays = listed.contains(name.as_str());
-                if !stays {
-                    self.nodes.forget(node.info.node);
-                }
-                stays
-            });
+        for unread in list.unread.iter().take(LOGGED) {
+            log::warn!("discovery: version {}, {unread}", list.rev);
         }
-        let entries: Vec<NodeInfo> = list.targets.iter().map(|target| self.entry(target)).collect();
+        if list.unread.len() > LOGGED {
+            log::warn!("discovery: version {}, {} more can't be read", list.rev, list.unread.len() - LOGGED);
+        }
+        list.unread.iter().for_each(|_| self.counters.bad_input.add());
+        let changes = self.roster.borrow_mut().take(list, source, self.dispatcher.clock().now());
+        let entries: Vec<NodeInfo> = changes.into_iter().flat_map(|change| self.change(change)).collect();
         self.dispatcher.tell(&[Event::Nodes { kind, nodes: entries }]);
+        self.heard.send_if_modified(|heard| kind != ListKind::Cached && !std::mem::replace(heard, true));
     }
 
-    fn entry(&self, target: &Target) -> NodeInfo {
-        let state = match target.state.as_str() {
-            "ready" => NodeState::Ready,
-            "draining" => NodeState::Draining,
-            "gone" => NodeState::Gone,
-            other => {
-                log::warn!("discovery: {}: unknown state {other:?}, taken as draining", target.uid);
-                NodeState::Draining
-            }
+    /// What a change makes of the nodes that module and transport know.
+    fn change(&self, change: Change) -> Vec<NodeInfo> {
+        let gone = |name: &str, listed: Listed| {
+            let info = NodeInfo { state: NodeState::Gone, ..listed.info };
+            self.settle(name, &Listed { info, address: None })
         };
-        let (state, address) = match (state, target.endpoint.parse::<SocketAddr>()) {
-            (NodeState::Gone, _) => (NodeState::Gone, None),
-            (state, Ok(address)) => (state, Some(address)),
-            (_, Err(problem)) => {
-                log::warn!("discovery: {}: {}: {problem}, left out", target.uid, target.endpoint);
-                self.counters.bad_input.add();
-                (NodeState::Gone, None)
+        let entry = match change {
+            // A name whose node is gone is not kept: another that comes has a number of its own, and over time
+            // names come without end.
+            Change::Gone(name) => {
+                let listed = self.names.borrow_mut().remove(&name);
+                return listed.map(|listed| gone(&name, listed)).into_iter().collect();
             }
+            Change::Holds(entry) => entry,
         };
-        let since = if target.boot_ms > 0.0 { target.boot_ms / 1000.0 } else { 0.0 };
-        // A name whose node is gone is not kept: another that comes has a number of its own, and over time
-        // names come without end.
-        let mut names = self.names.borrow_mut();
-        let node = names.get(&target.uid).map(|known| known.info.node);
+        let known = self.names.borrow().get(&entry.name).cloned();
+        let shard = entry.shard.map(ShardId).or(known.as_ref().map(|known| known.info.shard));
+        let shard = shard.unwrap_or(ShardId(0));
+        let state = if entry.state == State::Ready { NodeState::Ready } else { NodeState::Draining };
+        let address = entry.address.or(known.as_ref().and_then(|known| known.address));
+        // One that holds another shard than before has left the queue that it had.
+        let moved =
+            known.clone().filter(|known| known.info.shard != shard).map(|known| gone(&entry.name, known));
+        let node = known.map(|known| known.info.node);
         let node = node.unwrap_or_else(|| NodeId(self.named.replace(self.named.get() + 1)));
-        let (shard, zone) = (ShardId(target.pod_group), self.zone(&target.az));
-        let listed = Listed { info: NodeInfo { node, shard, since, zone, state }, address };
-        self.seen.borrow_mut().note(&target.uid);
-        let info = self.settle(&target.uid, &listed);
-        match state {
-            NodeState::Gone => _ = names.remove(&target.uid),
-            _ => _ = names.insert(target.uid.clone(), listed),
-        }
-        info
+        let info = NodeInfo { node, shard, since: entry.boot, zone: self.zone(&entry.zone), state };
+        let listed = Listed { info, address };
+        let info = self.settle(&entry.name, &listed);
+        self.names.borrow_mut().insert(entry.name, listed);
+        moved.into_iter().chain([info]).collect()
     }
 
     fn zone(&self, name: &str) -> ZoneId {
@@ -297,53 +230,58 @@
         };
         let patience = self.pacing.call();
         let body = timeout(patience, call).await.map_err(|_| DiscoveryError::Silent(patience))??;
-        let list: List = serde_json::from_slice(&body)?;
+        let list = List::parse(&body)?;
         if !list.all {
             return Err(DiscoveryError::NotWhole);
         }
         Ok(list)
     }
 
-    /// What can be taken of a list that may be older than what is known: all but that a node is ready which was told to
-    /// drain or to be gone, and has not started since.
-    fn safe(&self, mut list: List) -> List {
-        let (names, seen) = (self.names.borrow(), self.seen.borrow());
-        list.targets.retain(|target| match names.get(&target.uid) {
-            _ if target.state != "ready" => true,
-            Some(known) => known.info.state == NodeState::Ready || target.boot_ms / 1000.0 > known.info.since,
-            None => !seen.known.contains(&target.uid),
-        });
-        List { rev: self.version.get(), all: false, targets: list.targets }
-    }
-
-    /// Watches the changes after the version known, until the watch ends.
-    async fn watch(&self, address: SocketAddr, opened: &Cell<bool>) -> Result<(), DiscoveryError> {
-        let path = format!("/api/targets?follow=1&since={}", self.version.get());
+    /// Watches the changes after the version that the source has told, until the watch ends.
+    async fn watch(&self, address: SocketAddr, source: &RefCell<Source>) -> WatchEnd {
+        let path = format!("/api/targets?follow=1&since={}", source.borrow().cursor());
         let patience = self.pacing.call();
         let call = timeout(patience, get(address, path)).await;
-        let (response, _guard) = call.map_err(|_| DiscoveryError::Silent(patience))??;
-        opened.set(true);
+        let call = call.unwrap_or(Err(DiscoveryError::Silent(patience)));
+        match call {
+            Ok((response, _guard)) => WatchEnd { opened: true, problem: self.read(response, source).await },
+            Err(problem) => WatchEnd { opened: false, problem },
+        }
+    }
+
+    /// Reads a watch that has opened to its end, and says what that was.
+    async fn read(&self, response: Response<Incoming>, source: &RefCell<Source>) -> DiscoveryError {
         let mut body = response.into_body();
         let mut text = BytesMut::new();
         loop {
-            let frame = timeout(SILENCE, body.frame()).await.map_err(|_| DiscoveryError::Silent(SILENCE))?;
-            let Some(data) = frame.transpose()?.map(|f| f.into_data()) else {
-                return Err(DiscoveryError::Closed);
+            let frame = timeout(SILENCE, body.frame()).await;
+            let data = match frame {
+                Err(_) => return DiscoveryError::Silent(SILENCE),
+                Ok(None) => return DiscoveryError::Closed,
+                Ok(Some(Err(problem))) => return problem.into(),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
-            text.extend_from_slice(&data.unwrap_or_default());
+            text.extend_from_slice(&data);
             while let Some(end) = text.iter().position(|b| *b == b'\n') {
                 let line = text.split_to(end);
                 text.advance(1);
                 if line.iter().all(u8::is_ascii_whitespace) {
                     continue;
                 }
-                let list: List = serde_json::from_slice(&line)?;
-                let kind = if list.all { ListKind::Whole } else { ListKind::Changes };
-                log::info!("discovery: version {}, {} entries, {kind:?}", list.rev, list.targets.len());
-                self.apply(&list, kind);
+                let list = match List::parse(&line) {
+                    Ok(list) => list,
+                    Err(problem) => return problem.into(),
+                };
+                let kind = if list.all { "whole" } else { "changes" };
+                log::info!("discovery: version {}, {} entries, {kind}", list.rev, list.entries.len());
+                self.apply(list, &mut source.borrow_mut(), ListKind::Changes);
             }
             if text.len() > LONGEST_LINE {
-                return Err(DiscoveryError::TooLong);
+                return DiscoveryError::TooLong;
+            }
+            if source.borrow().counts_anew(self.dispatcher.clock().now()) {
+                let (at, known) = (source.borrow().cursor(), self.roster.borrow().version());
+                return DiscoveryError::Anew(at, known);
             }
         }
     }
@@ -359,7 +297,7 @@
             let address = *source.borrow_and_update();
             match self.fetch(address).await {
                 Ok(list) => {
-                    self.apply(&list, ListKind::Whole);
+                    self.apply(list, &mut Source::default(), ListKind::Whole);
                     known = true;
                 }
                 Err(problem) => {
@@ -381,17 +319,17 @@
         }
     }
 
-    /// Waits until the list has another source and that source's list is in, whole. What one source says of
-    /// versions means nothing to another, so its watch starts from its own list; until then the nodes known
-    /// serve, and the watch on the old source goes on for as long as that lets it. But a source of the same list may
-    /// be behind the old one: what is safe of a lower version is taken at once, and the rest only some time later.
+    /// Waits until the list has another source and that source's list is in, whole. Until then the nodes known
+    /// serve, and the watch on the old source goes on for as long as that lets it. A source may be behind the old one:
+    /// what its list says of nodes that leave is taken at once, and the move is made once it has caught up, or has been
+    /// behind for so long that its versions must be counted anew.
     async fn moved(&self, source: &mut watch::Receiver<SocketAddr>) {
         if source.changed().await.is_err() {
             // No other source will ever be named.
             return std::future::pending().await;
         }
         'source: loop {
-            let (address, until) = (*source.borrow_and_update(), Instant::now() + BEHIND);
+            let (address, mut new) = (*source.borrow_and_update(), Source::default());
             let mut back_off = self.pacing.back_off();
             loop {
                 let fetched = self.fetch(address).await;
@@ -399,14 +337,13 @@
                     continue 'source;
                 }
                 match fetched {
-                    Ok(list) if list.rev < self.version.get() && Instant::now() < until => {
-                        let (version, known) = (list.rev, self.version.get());
-                        log::warn!("discovery: {address} is at version {version}, behind {known}");
-                        self.apply(&self.safe(list), ListKind::Changes);
-                    }
                     Ok(list) => {
-                        self.apply(&list, ListKind::Whole);
-                        return log::info!("discovery: now at {address}, version {}", list.rev);
+                        self.apply(list, &mut new, ListKind::Whole);
+                        let (version, known) = (new.cursor(), self.roster.borrow().version());
+                        if !new.is_behind() {
+                            return log::info!("discovery: now at {address}, version {version}");
+                        }
+                        log::warn!("discovery: {address} is at version {version}, behind {known}");
                     }
                     Err(problem) => log::warn!("discovery: no list at {address}: {problem}"),
                 }
@@ -420,21 +357,44 @@
 
     /// Keeps a watch at one address.
     async fn keep_watch(&self, address: SocketAddr) {
-        let (mut back_off, opened) = (self.pacing.back_off(), Cell::new(false));
+        let source = RefCell::new(Source::at(self.roster.borrow().version()));
+        let mut back_off = self.pacing.back_off();
         loop {
-            let ended = self.watch(address, &opened).await;
-            if let Err(problem) = &ended {
-                log::warn!("discovery: watch ended: {problem}");
-            }
+            let end = self.watch(address, &source).await;
+            log::warn!("discovery: watch ended: {}", end.problem);
             self.counters.watches_lost.add();
-            match (opened.replace(false), ended) {
-                (true, Err(DiscoveryError::Silent(_))) => back_off.restart_late(),
-                (true, _) => back_off.restart(),
+            match end.problem {
+                DiscoveryError::Silent(_) if end.opened => back_off.restart_late(),
+                _ if end.opened => back_off.restart(),
                 _ => {}
             }
+            if matches!(end.problem, DiscoveryError::Anew(..)) {
+                self.make_up(address, &source).await;
+            }
             sleep(back_off.pause()).await;
         }
     }
+
+    /// Takes the whole list in place of what could not be taken as it came; where that fails too, what is known stands.
+    async fn make_up(&self, address: SocketAddr, source: &RefCell<Source>) {
+        let mut back_off = self.pacing.back_off();
+        for _ in 0..MAKE_UP {
+            match self.fetch(address).await {
+                Ok(list) => {
+                    log::info!("discovery: version {}, {} entries, asked for", list.rev, list.entries.len());
+                    return self.apply(list, &mut source.borrow_mut(), ListKind::Whole);
+                }
+                Err(problem) => log::warn!("discovery: no list at {address}: {problem}"),
+            }
+            sleep(back_off.pause()).await;
+        }
+    }
+}
+
+/// How a watch came to its end, and whether it had opened.
+struct WatchEnd {
+    opened: bool,
+    problem: DiscoveryError,
 }
 
 /// Ends the connection's task when the exchange is dropped.
--- a/tests/stories_leaving.rs
+++ b/tests/stories_leaving.rs
@@ -3,6 +3,8 @@
 
 mod peers;
 use peers::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 fn read() -> String {
@@ -51,6 +53,83 @@
     }
 }
 
+/// Given an agent that is behind the list of the earlier life, whole or by its changes, when it tells again what is
+/// past, then a node that the earlier life knew to leave gets nothing until a newer word.
+#[test]
+fn an_agent_that_is_behind_the_earlier_life_brings_no_leaving_node_back() {
+    for whole in [true, false] {
+        let (old, new) = (brick("old"), brick("new"));
+        let known =
+            list(5, true, &[entry("s-1", old.address, 0, "draining"), entry("s-2", new.address, 1, "ready")]);
+        let back = [entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 1, "ready")];
+        let go = Arc::new(AtomicBool::new(false));
+        let caught_up = go.clone();
+        let agent = Agent::start(move |number, line| match number {
+            0 => {
+                assert!(line.contains("since=5"), "{line}");
+                vec![Say::Line(list(3, whole, &back)), Say::Hold]
+            }
+            _ if caught_up.load(Ordering::SeqCst) => after(0, vec![list(6, false, &back[..1])]),
+            _ => vec![Say::Line(list(4, false, &back[..1])), Say::Hold],
+        });
+        let head = Head::start_text(&config_at(agent.address, 1024, &known), None, &[]);
+        let mut client = Client::new(head.http);
+        assert_eq!(client.ask(&read().replace("shard=0", "shard=1"), b"").body, b"new");
+        assert_ne!(client.ask(&read(), b"").status(), 200);
+        wait(|| (head.counter("list_changes") >= 3).then_some(()));
+        assert_ne!(Client::new(head.http).ask(&read(), b"").status(), 200);
+        assert_eq!(old.seen().len(), 0, "whole: {whole}");
+        go.store(true, Ordering::SeqCst);
+        wait(|| (Client::new(head.http).ask(&read(), b"").body == b"old").then_some(()));
+    }
+}
+
+/// Given a source that SIGHUP names and that counts its versions anew, when it stands in the end, then a node that the
+/// old one told to drain still gets nothing.
+#[test]
+fn a_source_that_counts_anew_brings_no_drained_node_back() {
+    let (old, new) = (brick("old"), brick("new"));
+    let before = Discovery::start(&[entry("s-1", old.address, 0, "ready")]);
+    let head = Head::start(&before, None, &[]);
+    before.push(&[entry("s-1", old.address, 0, "draining")]);
+    wait(|| (head.counter("list_changes") == 2).then_some(()));
+    let anew =
+        Discovery::start(&[entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 1, "ready")]);
+    head.reload(&config(&anew, 1024, "null"));
+    wait(|| head.logged("is at version 1, behind 2"));
+    wait(|| head.logged("now at"));
+    let mut client = Client::new(head.http);
+    wait(|| (client.ask(&read().replace("shard=0", "shard=1"), b"").body == b"new").then_some(()));
+    assert_ne!(client.ask(&read(), b"").status(), 200);
+    assert_eq!(old.seen().len(), 0);
+    // Its own word that the node drained and is back is a newer one.
+    anew.push(&[entry("s-1", old.address, 0, "draining")]);
+    anew.push(&[entry("s-1", old.address, 0, "ready")]);
+    wait(|| (client.ask(&read(), b"").body == b"old").then_some(()));
+}
+
+/// Given a watch that is cut in the middle of a line, when the head asks again, then it has the drain at once.
+#[test]
+fn a_watch_cut_in_the_middle_of_a_line_is_taken_up_at_once() {
+    let (old, new) = (brick("old"), brick("new"));
+    let ready =
+        list(1, true, &[entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 1, "ready")]);
+    let drain = list(2, false, &[entry("s-1", old.address, 0, "draining")]);
+    let cut = format!("{:x}\r\n{}", drain.len() + 1, &drain[..drain.len() / 2]).into_bytes();
+    let agent = Agent::start(move |number, _| match number {
+        0 => vec![Say::Line(ready.clone())],
+        1 => vec![Say::Pause(Duration::from_millis(300)), Say::Raw(cut.clone()), Say::Close],
+        _ => after(0, vec![drain.clone()]),
+    });
+    let head = Head::start_text(&config_at(agent.address, 1024, "null"), None, &[]);
+    wait(|| head.logged("watch ended"));
+    let broken = Instant::now();
+    wait(|| head.logged("version 2, 1 entries"));
+    assert!(broken.elapsed() < Duration::from_millis(250), "{:?}", broken.elapsed());
+    assert_ne!(Client::new(head.http).ask(&read(), b"").status(), 200);
+    assert_eq!(old.seen().len(), 0);
+}
+
 /// Given a head that was told to end, when a node drains while it answers what it has, then it sends it nothing more.
 #[test]
 fn a_head_that_ends_keeps_to_the_list_to_its_last_send() {
@@ -68,3 +147,24 @@
     drop(client);
     assert!(head.ended());
 }
+
+/// Given a node that holds another shard than before, or is gone by an entry that names none, when requests come for
+/// the shard that it had, then they are held for another, not tried at it three times.
+#[test]
+fn a_node_that_is_gone_by_a_bare_entry_leaves_its_queue() {
+    let (old, new) = (brick("old"), brick("new"));
+    let discovery = Discovery::start(&[entry("s-1", old.address, 3, "ready")]);
+    let head = Head::start(&discovery, None, &[]);
+    let mut client = Client::new(head.http);
+    let at = |shard: u32| read().replace("shard=0", &format!("shard={shard}"));
+    assert_eq!(client.ask(&at(3), b"").body, b"old");
+    discovery.push(&[r#"{"uid":"s-1","state":"gone"}"#.into()]);
+    wait(|| (head.counter("list_changes") == 2).then_some(()));
+    discovery.push(&[entry("s-2", new.address, 3, "ready")]);
+    wait(|| (client.ask(&at(3), b"").body == b"new").then_some(()));
+    discovery.push(&[entry("s-2", new.address, 4, "ready")]);
+    wait(|| (head.counter("list_changes") == 4).then_some(()));
+    assert_eq!(client.ask(&at(4), b"").body, b"new");
+    assert_ne!(client.ask(&at(3), b"").status(), 200);
+    assert_eq!((old.seen().len(), head.counter("moot")), (1, 0));
+}
