Pass over a line of the list that can't be read, and make up for it once by the whole list

Cause: a line with one entry of another form ended the watch (discovery.rs, watch: from_slice over the whole line), and the watch was opened again from the same version, which brought the same line: without an end, and without the drains that the line told.

Change: a line that is no list is passed over and logged; the watch goes on, and the whole list is asked for in its place, three times at most.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -22,11 +22,11 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-/// How often the whole list is asked for where versions are counted anew, before the watch is tried again.
+/// How often a line that can't be read is made up for by the whole list before what was known has to do.
 const MAKE_UP: usize = 3;
 /// Of the parts of one list that can't be read, so many are logged.
 const LOGGED: usize = 8;
@@ -237,20 +237,28 @@
         Ok(list)
     }
 
-    /// Watches the changes after the version that the source has told, until the watch ends.
-    async fn watch(&self, address: SocketAddr, source: &RefCell<Source>) -> WatchEnd {
+    /// Watches the changes after the version that the source has told, until the watch ends. A line that can't be read
+    /// is passed over and `lost` told of it: to ask for it again would bring it again.
+    async fn watch(&self, address: SocketAddr, source: &RefCell<Source>, lost: &Notify) -> WatchEnd {
         let path = format!("/api/targets?follow=1&since={}", source.borrow().cursor());
         let patience = self.pacing.call();
         let call = timeout(patience, get(address, path)).await;
         let call = call.unwrap_or(Err(DiscoveryError::Silent(patience)));
         match call {
-            Ok((response, _guard)) => WatchEnd { opened: true, problem: self.read(response, source).await },
+            Ok((response, _guard)) => {
+                WatchEnd { opened: true, problem: self.read(response, source, lost).await }
+            }
             Err(problem) => WatchEnd { opened: false, problem },
         }
     }
 
     /// Reads a watch that has opened to its end, and says what that was.
-    async fn read(&self, response: Response<Incoming>, source: &RefCell<Source>) -> DiscoveryError {
+    async fn read(
+        &self,
+        response: Response<Incoming>,
+        source: &RefCell<Source>,
+        lost: &Notify,
+    ) -> DiscoveryError {
         let mut body = response.into_body();
         let mut text = BytesMut::new();
         loop {
@@ -268,13 +276,18 @@
                 if line.iter().all(u8::is_ascii_whitespace) {
                     continue;
                 }
-                let list = match List::parse(&line) {
-                    Ok(list) => list,
-                    Err(problem) => return problem.into(),
-                };
-                let kind = if list.all { "whole" } else { "changes" };
-                log::info!("discovery: version {}, {} entries, {kind}", list.rev, list.entries.len());
-                self.apply(list, &mut source.borrow_mut(), ListKind::Changes);
+                match List::parse(&line) {
+                    Ok(list) => {
+                        let kind = if list.all { "whole" } else { "changes" };
+                        log::info!("discovery: version {}, {} entries, {kind}", list.rev, list.entries.len());
+                        self.apply(list, &mut source.borrow_mut(), ListKind::Changes);
+                    }
+                    Err(problem) => {
+                        log::warn!("discovery: a line passed over: {problem}");
+                        self.counters.bad_input.add();
+                        lost.notify_one();
+                    }
+                }
             }
             if text.len() > LONGEST_LINE {
                 return DiscoveryError::TooLong;
@@ -355,24 +368,33 @@
         }
     }
 
-    /// Keeps a watch at one address.
+    /// Keeps a watch at one address, and makes up for what it could not read.
     async fn keep_watch(&self, address: SocketAddr) {
         let source = RefCell::new(Source::at(self.roster.borrow().version()));
-        let mut back_off = self.pacing.back_off();
-        loop {
-            let end = self.watch(address, &source).await;
-            log::warn!("discovery: watch ended: {}", end.problem);
-            self.counters.watches_lost.add();
-            match end.problem {
-                DiscoveryError::Silent(_) if end.opened => back_off.restart_late(),
-                _ if end.opened => back_off.restart(),
-                _ => {}
+        let (lost, mut back_off) = (Notify::new(), self.pacing.back_off());
+        let keep = async {
+            loop {
+                let end = self.watch(address, &source, &lost).await;
+                log::warn!("discovery: watch ended: {}", end.problem);
+                self.counters.watches_lost.add();
+                match end.problem {
+                    DiscoveryError::Silent(_) if end.opened => back_off.restart_late(),
+                    _ if end.opened => back_off.restart(),
+                    _ => {}
+                }
+                if matches!(end.problem, DiscoveryError::Anew(..)) {
+                    self.make_up(address, &source).await;
+                }
+                sleep(back_off.pause()).await;
             }
-            if matches!(end.problem, DiscoveryError::Anew(..)) {
+        };
+        let make_up = async {
+            loop {
+                lost.notified().await;
                 self.make_up(address, &source).await;
             }
-            sleep(back_off.pause()).await;
-        }
+        };
+        tokio::join!(keep, make_up);
     }
 
     /// Takes the whole list in place of what could not be taken as it came; where that fails too, what is known stands.
--- a/tests/stories_leaving.rs
+++ b/tests/stories_leaving.rs
@@ -108,6 +108,36 @@
     wait(|| (client.ask(&read(), b"").body == b"old").then_some(()));
 }
 
+/// Given a line with entries that can't be read, or a line that is none at all, when it tells a drain as well, then the
+/// drain counts, the place is logged, and the line is not asked for again and again.
+#[test]
+fn what_cant_be_read_of_a_list_costs_no_drain() {
+    let (old, new) = (brick("old"), brick("new"));
+    let ready = [entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 0, "ready")];
+    let drain = entry("s-1", old.address, 0, "draining");
+    let bad = format!(r#"{{"uid":"s-2","endpoint":null,"pod_group":"x","state":"ready"}},{drain}"#);
+    let (first, last) = (list(1, true, &ready), list(3, true, &[drain, ready[1].clone()]));
+    for line in [list(2, false, &[bad]), r#"{"rev":2,"targets":[{"uid":"s-1","#.into()] {
+        let (first, last, readable) = (first.clone(), last.clone(), line.ends_with("]}"));
+        let agent = Agent::start(move |number, call| match (number, call.contains("follow")) {
+            (0, _) => vec![Say::Line(first.clone())],
+            (_, true) => after(0, vec![line.clone()]),
+            (_, false) => vec![Say::Line(last.clone())],
+        });
+        let head = Head::start_text(&config_at(agent.address, 1024, "null"), None, &[]);
+        wait(|| (head.counter("bad_input") > 0).then_some(()));
+        let mut client = Client::new(head.http);
+        wait(|| (client.ask(&read(), b"").body == b"new").then_some(()));
+        let seen = old.seen().len();
+        std::thread::sleep(Duration::from_millis(1500));
+        assert_eq!(client.ask(&read(), b"").body, b"new");
+        assert_eq!(old.seen().len(), seen);
+        let logged = if readable { "version 2, entry 0 (s-2): endpoint: null" } else { "a line passed over" };
+        assert!(head.logged(logged).is_some(), "{logged}");
+        assert!(agent.asked().len() <= 3, "{:?}", agent.asked());
+    }
+}
+
 /// Given a watch that is cut in the middle of a line, when the head asks again, then it has the drain at once.
 #[test]
 fn a_watch_cut_in_the_middle_of_a_line_is_taken_up_at_once() {
