--- a/src/logic.rs
+++ b/src/logic.rs
@@ -786,7 +786,8 @@
     }
 
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        for shard in self.lanes.keys().copied().collect::<Vec<_>>() {
+        let busy = self.lanes.iter().filter(|(_, lane)| lane.queues.iter().any(|q| !q.is_empty()));
+        for shard in busy.map(|(shard, _)| *shard).collect::<Vec<_>>() {
             while let Some(picked) = self.pick(shard) {
                 self.send(shard, picked, actions);
             }
@@ -932,9 +933,7 @@
         let memory = limits.map(|l| l.burst / l.rate).fold(MEMORY, f64::max);
         self.volumes.retain(|_, volume| self.now - volume.at < memory);
         self.order.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
-        for lane in self.lanes.values_mut() {
-            lane.volume_finish.retain(|_, finish| *finish > lane.volume_time);
-        }
+        self.lanes.values_mut().for_each(|l| l.volume_finish.retain(|_, finish| *finish > l.volume_time));
         for class in self.classes.iter_mut().filter(|c| c.tick.1 > 0) {
             let (sum, count) = std::mem::take(&mut class.tick);
             class.samples = (class.samples.0 + sum / f64::from(count), class.samples.1 + 1);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -417,6 +417,10 @@
         pair.expect("a counter").parse().expect("a number")
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
