Count and log what is held back from a node that leaves, with its name, the stage and the news' age

Cause: an operator could not see that an attempt was stopped since its node had left by then; moot counts more than that, and no line named node or stage.

Change: the choice goes through the same gate as connection and first byte; held_back counts what it stops, and a line tells node, stage (Chosen, Connected, FirstByte) and how long ago the news came.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -126,6 +126,8 @@
     cancelled,
     /// Attempts not sent because the node no longer takes work.
     moot,
+    /// Attempts stopped before their first byte since the node had left by then, or had moved.
+    held_back,
     /// Connections opened to nodes.
     node_connections,
     /// Connections accepted from clients.
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -155,7 +155,7 @@
         info.since = self.bans.returned(name).map_or(info.since, |at| info.since.max(at));
         match listed.address {
             Some(address) if info.state != NodeState::Gone => {
-                self.nodes.place(info.node, Place { address, state: info.state });
+                self.nodes.place(info.node, Place { name: name.into(), address, state: info.state });
             }
             _ => self.nodes.forget(info.node),
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -59,6 +59,8 @@
 /// Where a node is and whether it takes work, as discovery last had it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
+    /// Its name among all heads.
+    pub name: Rc<str>,
     /// Its address.
     pub address: SocketAddr,
     /// Whether it takes work.
@@ -76,11 +78,13 @@
     FirstByte,
 }
 
-/// What a connection asks before the first byte of a request.
+/// What an attempt asks from its choice to its first byte: whether its node still takes work, there where it did.
 struct Gate {
     pools: Rc<RefCell<Pools>>,
+    counters: Rc<Counters>,
     node: NodeId,
-    address: SocketAddr,
+    /// Where it was when it was chosen; none if it was listed no more.
+    address: Option<SocketAddr>,
 }
 
 impl Gate {
@@ -88,16 +92,17 @@
     fn admits(&self, stage: Stage) -> bool {
         let pools = self.pools.borrow();
         let place = pools.places.get(&self.node);
-        if place.is_some_and(|(p, _)| p.state == NodeState::Ready && p.address == self.address) {
+        if place.is_some_and(|(p, _)| p.state == NodeState::Ready && Some(p.address) == self.address) {
             return true;
         }
+        self.counters.held_back.add();
         let news = match place {
-            Some((place, at)) => {
-                format!("{:?} at {}, heard {:?} ago", place.state, place.address, at.elapsed())
+            Some((p, at)) => {
+                format!("{} is {:?} at {}, heard {:?} ago", p.name, p.state, p.address, at.elapsed())
             }
-            None => "gone".into(),
+            None => "it is gone".into(),
         };
-        log::info!("node: nothing new to {} ({stage:?}): {news}", self.address);
+        log::info!("node: nothing new to node {} ({stage:?}): {news}", self.node.0);
         false
     }
 }
@@ -427,11 +432,6 @@
         drop(lost);
     }
 
-    /// Where a node is, if it takes work now.
-    fn ready(&self, node: NodeId) -> Option<SocketAddr> {
-        self.pools.borrow().ready(node)
-    }
-
     /// Closes connections that have been idle for long; runs as long as the program.
     pub async fn sweep(&self) {
         loop {
@@ -511,8 +511,9 @@
     }
 
     async fn attempt(&self, node: NodeId, envelope: &Envelope, until: Instant) -> Reply {
-        let Some(address) = self.ready(node) else {
-            log::info!("node: nothing new to node {} ({:?})", node.0, Stage::Chosen);
+        let address = self.pools.borrow().places.get(&node).map(|(place, _)| place.address);
+        let gate = Gate { pools: self.pools.clone(), counters: self.counters.clone(), node, address };
+        let Some(address) = gate.admits(Stage::Chosen).then_some(address).flatten() else {
             return Reply::empty(Outcome::Moot);
         };
         let mut link = match self.pooled(node).await {
@@ -523,7 +524,6 @@
             },
         };
         // A slow connect may have outlasted the node's readiness.
-        let gate = Gate { pools: self.pools.clone(), node, address };
         if !gate.admits(Stage::Connected) {
             return Reply::empty(Outcome::Moot);
         }
@@ -666,16 +666,18 @@
             let node = NodeId(1);
             let other = SocketAddr::from(([127, 0, 0, 2], address.port()));
             let news: [&dyn Fn(); 3] = [
-                &|| nodes.place(node, Place { address, state: NodeState::Draining }),
+                &|| nodes.place(node, Place { name: "s-1".into(), address, state: NodeState::Draining }),
                 &|| nodes.forget(node),
-                &|| nodes.place(node, Place { address: other, state: NodeState::Ready }),
+                &|| nodes.place(node, Place { name: "s-1".into(), address: other, state: NodeState::Ready }),
             ];
+            let mut held_back = 0;
             for (news, early) in news.iter().flat_map(|news| [(news, true), (news, false)]) {
-                nodes.place(node, Place { address, state: NodeState::Ready });
+                nodes.place(node, Place { name: "s-1".into(), address, state: NodeState::Ready });
                 let stream = TcpStream::connect(address).await.expect("a connection");
                 let (mut peer, _) = listener.accept().await.expect("a connection");
                 let (stream, progress) = (Rc::new(RefCell::new(stream)), Rc::new(Progress::default()));
-                let gate = Gate { pools: nodes.pools.clone(), node, address };
+                let (pools, counters) = (nodes.pools.clone(), nodes.counters.clone());
+                let gate = Gate { pools, counters, node, address: Some(address) };
                 assert!(gate.admits(Stage::Connected));
                 progress.restart(true, gate);
                 let mut wire = Watched { stream, progress: progress.clone() };
@@ -688,6 +690,8 @@
                     wire.write_all(b" /").await.expect("begun, it goes on");
                 }
                 assert_eq!((progress.withheld.get(), progress.wrote.get()), (early, !early));
+                held_back += u64::from(early);
+                assert_eq!(nodes.counters.held_back.get(), held_back);
                 drop(wire);
                 let mut seen = Vec::new();
                 peer.read_to_end(&mut seen).await.expect("its end");
--- a/tests/stories_http.rs
+++ b/tests/stories_http.rs
@@ -491,7 +491,7 @@
         let counters = Rc::new(Counters::default());
         let budget = descriptors::Budget::new(100, counters.clone());
         let nodes = node::Nodes::new(budget, memory::Memory::new(32), counters, 5.0, 15.0, 1);
-        nodes.place(NodeId(1), node::Place { address, state: NodeState::Ready });
+        nodes.place(NodeId(1), node::Place { name: "s-1".into(), address, state: NodeState::Ready });
         let until = tokio::time::Instant::now() + PATIENCE;
         let mut outcomes = Vec::new();
         for length in [32 << 20, 10, 0] {
@@ -501,7 +501,7 @@
             outcomes.push(nodes.send(NodeId(1), &envelope, until).await.outcome);
         }
         assert_eq!(outcomes, [Outcome::ConnectFailed, Outcome::Reset, Outcome::Reset]);
-        nodes.place(NodeId(1), node::Place { address, state: NodeState::Draining });
+        nodes.place(NodeId(1), node::Place { name: "s-1".into(), address, state: NodeState::Draining });
         let envelope = Envelope {
             verb: Verb::Read,
             target: "/play-fetch/1/2".into(),
@@ -541,7 +541,7 @@
             15.0,
             1,
         );
-        nodes.place(NodeId(1), node::Place { address, state: NodeState::Ready });
+        nodes.place(NodeId(1), node::Place { name: "s-1".into(), address, state: NodeState::Ready });
         let envelope = Envelope {
             verb: Verb::Read,
             target: "/play-fetch/1/2".into(),
@@ -551,7 +551,7 @@
         };
         let accepting = async {
             sleep(Duration::from_millis(50)).await;
-            nodes.place(NodeId(1), node::Place { address, state: NodeState::Draining });
+            nodes.place(NodeId(1), node::Place { name: "s-1".into(), address, state: NodeState::Draining });
             loop {
                 let (stream, _) = listener.accept().await.expect("a connection");
                 queued.push(stream);
--- a/tests/stories_leaving.rs
+++ b/tests/stories_leaving.rs
@@ -198,3 +198,103 @@
     assert_ne!(client.ask(&at(3), b"").status(), 200);
     assert_eq!((old.seen().len(), head.counter("moot")), (1, 0));
 }
+
+/// Given a source that SIGHUP names and that takes its time, or goes away in the middle of its list, when a node drains
+/// meanwhile by the old one's word, then the move brings it back in neither case.
+#[test]
+fn a_change_during_a_move_counts_and_a_source_that_goes_away_changes_nothing() {
+    for goes_away in [true, false] {
+        let (old, new) = (brick("old"), brick("new"));
+        let ready = [entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 0, "ready")];
+        let before = Discovery::start(&ready);
+        let head = Head::start(&before, None, &[]);
+        let text = list(1, true, &ready);
+        let agent = Agent::start(move |number, line| match (line.contains("follow"), number) {
+            (true, _) => vec![],
+            (false, 0) if goes_away => vec![
+                Say::Raw(format!("HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n{text}").into_bytes()),
+                Say::Pause(Duration::from_millis(300)),
+                Say::Close,
+            ],
+            _ => after(300, vec![text.clone()]),
+        });
+        head.reload(&config_at(agent.address, 1024, "null"));
+        wait(|| (agent.asked().len() == 1).then_some(()));
+        before.push(&[entry("s-1", old.address, 0, "draining")]);
+        wait(|| head.logged("version 2, 1 entries"));
+        let mut client = Client::new(head.http);
+        let until = Instant::now() + Duration::from_millis(1200);
+        while Instant::now() < until {
+            assert_eq!(client.ask(&read(), b"").body, b"new");
+        }
+        assert!(head.logged("is at version 1, behind 2").is_some());
+        assert_eq!((old.seen().len(), head.logged("no list at").is_some()), (0, goes_away));
+    }
+}
+
+/// Given requests out at a node, when it moves to another address, is replaced at its own, is gone and comes back, or is
+/// called back by hand while it drains, then what is out is answered, and what is new goes by the last word.
+#[test]
+fn names_and_addresses_that_change_under_requests_are_followed() {
+    let slow = |name: &'static str| {
+        Brick::start(move |_, _| Step::After(Duration::from_millis(300), Box::new(Step::Serve(name.into()))))
+    };
+    let (first, second) = (slow("first"), brick("second"));
+    let discovery = Discovery::start(&[entry("s-1", first.address, 0, "ready")]);
+    let head = Head::start(&discovery, None, &[]);
+    let mut changes = 1;
+    let mut tell = |entries: &[String]| {
+        changes += 1;
+        discovery.push(entries);
+        wait(|| (head.counter("list_changes") == changes).then_some(()));
+    };
+    let mut out = Client::new(head.http);
+    out.send(&read(), b"");
+    first.wait_for(1);
+    tell(&[entry("s-1", second.address, 0, "ready")]);
+    let mut client = Client::new(head.http);
+    assert_eq!(client.ask(&read(), b"").body, b"second", "it moved");
+    assert_eq!(out.answer().expect("an answer").body, b"first", "what was out stays");
+    tell(&[entry("s-1", second.address, 0, "gone")]);
+    assert_ne!(client.ask(&read(), b"").status(), 200);
+    tell(&[entry("s-2", second.address, 0, "ready")]);
+    assert_eq!(client.ask(&read(), b"").body, b"second", "another at its address");
+    tell(&[entry("s-2", second.address, 0, "draining"), entry("s-1", second.address, 0, "ready")]);
+    assert_eq!(client.ask(&read(), b"").body, b"second", "and it is back, by a newer word");
+    assert_eq!(call(head.ops, "PUT", "/ops/bricks/down?host=s-1").0, 200);
+    tell(&[entry("s-1", second.address, 0, "draining")]);
+    assert_eq!(call(head.ops, "PUT", "/ops/bricks/up?host=s-1").0, 200);
+    let seen = second.seen().len();
+    assert_ne!(client.ask(&read(), b"").status(), 200, "called back by hand, it still drains");
+    assert_eq!((first.seen().len(), second.seen().len()), (1, seen));
+}
+
+/// Given two processes of one head at a planned restart, when a node drains, then neither sends it anything more: not the
+/// newer one, nor the older one for what broke there and goes out once more.
+#[test]
+fn both_processes_of_a_head_keep_a_drain() {
+    let old = Brick::start(|_, _| Step::After(Duration::from_millis(800), Box::new(Step::Break)));
+    let new = brick("new");
+    let discovery =
+        Discovery::start(&[entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 1, "ready")]);
+    let folder = std::env::temp_dir().join(format!("flaxgap-both-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let shared = [("TMPDIR", folder.to_str().expect("a path"))];
+    let mut older = Head::start(&discovery, None, &shared);
+    let mut out = Client::new(older.http);
+    out.send(&read(), b"");
+    old.wait_for(1);
+    let newer = Head::start(&discovery, None, &shared);
+    older.signal("-TERM");
+    discovery.push(&[entry("s-1", old.address, 0, "draining"), entry("s-2", new.address, 0, "ready")]);
+    for head in [&older, &newer] {
+        wait(|| head.logged("version 2, 2 entries"));
+    }
+    for _ in 0..20 {
+        assert_eq!(Client::new(newer.http).ask(&read(), b"").body, b"new");
+    }
+    assert_eq!(out.answer().expect("an answer").body, b"new", "what broke goes elsewhere");
+    assert!(older.ended());
+    assert_eq!(old.seen().len(), 1);
+    std::fs::remove_dir_all(folder).expect("removed");
+}
