Tell the module of changes only, so that a source that is behind takes no node from it

Cause: what crates/roster makes of a whole list went to the module as a whole list (discovery.rs, apply with ListKind::Whole), but of a source that is behind it holds only what changes: nodes with a newer word left the module's queues until it caught up.

Change: the module is told of changes, and of what is gone by name.

Measured: a story of a move with a node that the old source added meanwhile: refused before ("left: refused, come again"), served now.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -162,7 +162,8 @@
         info
     }
 
-    /// Takes in a list: the transport first, so that nothing is written to a node that just left.
+    /// Takes in a list: the transport first, so that nothing is written to a node that just left. What changes is told one
+    /// by one, also of a whole list: one that is behind does not have all that stands.
     pub fn apply(&self, list: List, source: &mut Source, kind: ListKind) {
         self.counters.list_changes.add();
         for unread in list.unread.iter().take(LOGGED) {
@@ -310,7 +311,7 @@
             let address = *source.borrow_and_update();
             match self.fetch(address).await {
                 Ok(list) => {
-                    self.apply(list, &mut Source::default(), ListKind::Whole);
+                    self.apply(list, &mut Source::default(), ListKind::Changes);
                     known = true;
                 }
                 Err(problem) => {
@@ -351,7 +352,7 @@
                 }
                 match fetched {
                     Ok(list) => {
-                        self.apply(list, &mut new, ListKind::Whole);
+                        self.apply(list, &mut new, ListKind::Changes);
                         let (version, known) = (new.cursor(), self.roster.borrow().version());
                         if !new.is_behind() {
                             return log::info!("discovery: now at {address}, version {version}");
@@ -404,7 +405,7 @@
             match self.fetch(address).await {
                 Ok(list) => {
                     log::info!("discovery: version {}, {} entries, asked for", list.rev, list.entries.len());
-                    return self.apply(list, &mut source.borrow_mut(), ListKind::Whole);
+                    return self.apply(list, &mut source.borrow_mut(), ListKind::Changes);
                 }
                 Err(problem) => log::warn!("discovery: no list at {address}: {problem}"),
             }
--- a/tests/stories_leaving.rs
+++ b/tests/stories_leaving.rs
@@ -204,7 +204,7 @@
 #[test]
 fn a_change_during_a_move_counts_and_a_source_that_goes_away_changes_nothing() {
     for goes_away in [true, false] {
-        let (old, new) = (brick("old"), brick("new"));
+        let (old, new, added) = (brick("old"), brick("new"), brick("added"));
         let ready = [entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 0, "ready")];
         let before = Discovery::start(&ready);
         let head = Head::start(&before, None, &[]);
@@ -220,12 +220,14 @@
         });
         head.reload(&config_at(agent.address, 1024, "null"));
         wait(|| (agent.asked().len() == 1).then_some(()));
-        before.push(&[entry("s-1", old.address, 0, "draining")]);
-        wait(|| head.logged("version 2, 1 entries"));
+        before.push(&[entry("s-1", old.address, 0, "draining"), entry("s-3", added.address, 1, "ready")]);
+        wait(|| head.logged("version 2, 2 entries"));
         let mut client = Client::new(head.http);
         let until = Instant::now() + Duration::from_millis(1200);
         while Instant::now() < until {
             assert_eq!(client.ask(&read(), b"").body, b"new");
+            let at_added = client.ask(&read().replace("shard=0", "shard=1"), b"");
+            assert_eq!(at_added.body, b"added", "what an older list lacks stays");
         }
         assert!(head.logged("is at version 1, behind 2").is_some());
         assert_eq!((old.seen().len(), head.logged("no list at").is_some()), (0, goes_away));
