Read the list as JSON values in any layout, where the watch read by line

Cause: the watch split its text at line ends and passed over what was no list by itself, so that of an indented list each line was passed over, with the drains in it. Change: crates/roster's values scans brackets and strings of the stream and gives each list as its last brace comes; what can't be read is told once, with its byte, and read on after its line. One that does not end within 1 s ends the watch.

--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -3,6 +3,7 @@
 //! that was told to drain, or to be gone, takes work again only after a start later than that, or by a newer word,
 //! never by an older list. Time is an argument, in seconds of Unix time; nothing here knows a socket.
 
+pub mod values;
 pub mod wire;
 
 use std::collections::{HashMap, HashSet, VecDeque};
--- /dev/null
+++ b/crates/roster/src/values.rs
@@ -0,0 +1,192 @@
+//! Lists out of a stream of JSON values in any layout: one to a line, indented over many, or several on one line. It
+//! holds what has come of the value that is not whole yet, at most [`LONGEST`] bytes of it, and waits for nothing: bytes
+//! go in as they come, lists come out as their last brace does. What can't be read costs no later value its word.
+
+use crate::wire::{List, ListError};
+use thiserror::Error;
+
+/// Longest text of one list that is read: 1,024 nodes take some 160 kB.
+pub const LONGEST: usize = 4 << 20;
+
+/// Why a part of a stream gave no list.
+#[derive(Debug, Error)]
+pub enum ValueError {
+    /// Its braces or strings don't fit; the next line is tried.
+    #[error("byte {place}: {problem}")]
+    Malformed {
+        /// Where in the stream, in bytes from its start.
+        place: u64,
+        /// What is wrong there.
+        problem: &'static str,
+    },
+    /// A whole value, but no list.
+    #[error("value at byte {place}: {problem}")]
+    NoList {
+        /// Where in the stream it starts.
+        place: u64,
+        /// Why it is none.
+        problem: ListError,
+    },
+    /// A value past [`LONGEST`]; nothing after it can be read.
+    #[error("value at byte {place}: over {LONGEST} bytes")]
+    TooLong {
+        /// Where in the stream it starts.
+        place: u64,
+    },
+}
+
+/// Where the scan of a value stands.
+#[derive(Debug, Default)]
+struct Scan {
+    /// How much of the text has been looked at.
+    done: usize,
+    /// The brackets that are open.
+    open: Vec<u8>,
+    in_string: bool,
+    escaped: bool,
+    /// A value has ended in the innermost bracket, so that only a comma or its end may follow.
+    ended: bool,
+    /// A name and its colon have come in the innermost object.
+    named: bool,
+}
+
+/// What the scan came to.
+enum Found {
+    /// The value ends before this byte.
+    End(usize),
+    /// It breaks at this byte.
+    Broken(usize, &'static str),
+    /// More is needed.
+    Unfinished,
+}
+
+impl Scan {
+    /// Looks on from where it stands.
+    fn look(&mut self, text: &[u8]) -> Found {
+        while let Some(byte) = text.get(self.done) {
+            let broken = self.step(*byte);
+            if let Some(problem) = broken {
+                return Found::Broken(self.done, problem);
+            }
+            self.done += 1;
+            if self.open.is_empty() {
+                return Found::End(self.done);
+            }
+        }
+        Found::Unfinished
+    }
+
+    fn step(&mut self, byte: u8) -> Option<&'static str> {
+        if self.in_string {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = true,
+                b'"' => (self.in_string, self.ended) = (false, true),
+                ..0x20 => return Some("a string that does not end"),
+                _ => {}
+            }
+            return None;
+        }
+        match byte {
+            b' ' | b'\t' | b'\r' | b'\n' => {}
+            _ if self.open.is_empty() && byte != b'{' => return Some("no object"),
+            b'{' | b'[' | b'"' if self.ended => return Some("a comma is missing"),
+            b'{' | b'[' if self.open.last() == Some(&b'{') && !self.named => {
+                return Some("a name is missing");
+            }
+            b'{' | b'[' => {
+                self.open.push(byte);
+                self.named = false;
+            }
+            b'"' => self.in_string = true,
+            b'}' | b']' => {
+                // '{' and '}', '[' and ']' are two apart.
+                if self.open.pop() != Some(byte - 2) {
+                    return Some("brackets that do not fit");
+                }
+                self.ended = true;
+            }
+            b',' | b':' => (self.ended, self.named) = (false, byte == b':'),
+            _ => {}
+        }
+        None
+    }
+}
+
+/// Reads a stream of lists.
+#[derive(Debug, Default)]
+pub struct Values {
+    text: Vec<u8>,
+    /// Where in the stream the text starts.
+    place: u64,
+    scan: Scan,
+    /// The rest of a line that can't be read is passed over.
+    passing: bool,
+    /// What was told of what can't be read holds until a list can be read again: an object over many lines is one word.
+    lost: bool,
+}
+
+impl Values {
+    /// Takes in what came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.text.extend_from_slice(bytes);
+    }
+
+    /// Whether a value has begun and not ended.
+    pub fn unfinished(&self) -> bool {
+        !self.text.is_empty()
+    }
+
+    /// The next list, or what could not be read; none until more has come.
+    pub fn next_list(&mut self) -> Option<Result<List, ValueError>> {
+        loop {
+            if self.passing {
+                let end = self.text.iter().position(|byte| *byte == b'\n');
+                self.passing = end.is_none();
+                self.drop_front(end.map_or(self.text.len(), |end| end + 1));
+            }
+            if self.scan.done == 0 {
+                let blank = self.text.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+                self.drop_front(blank);
+            }
+            let problem = match self.scan.look(&self.text) {
+                Found::Unfinished if self.text.len() <= LONGEST => return None,
+                Found::Unfinished => {
+                    let place = self.place;
+                    self.drop_front(self.text.len());
+                    return Some(Err(ValueError::TooLong { place }));
+                }
+                Found::End(end) => {
+                    let (list, place) = (List::parse(&self.text[..end]), self.place);
+                    self.drop_front(end);
+                    match list {
+                        Ok(list) => {
+                            self.lost = false;
+                            return Some(Ok(list));
+                        }
+                        Err(problem) => ValueError::NoList { place, problem },
+                    }
+                }
+                Found::Broken(at, problem) => {
+                    self.passing = true;
+                    let place = self.place + at as u64;
+                    self.scan = Scan::default();
+                    ValueError::Malformed { place, problem }
+                }
+            };
+            if !std::mem::replace(&mut self.lost, true) {
+                return Some(Err(problem));
+            }
+        }
+    }
+
+    fn drop_front(&mut self, count: usize) {
+        self.text.drain(..count);
+        self.place += count as u64;
+        self.scan = Scan::default();
+        // A long list's room is not kept for the short ones that follow.
+        if self.text.is_empty() && self.text.capacity() > 64 << 10 {
+            self.text = Vec::new();
+        }
+    }
+}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -6,7 +6,8 @@
 use crate::counters::Counters;
 use crate::node::{Nodes, Place};
 use crate::pacing::{Pacing, SILENCE};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
+use flaxgap_roster::values::{LONGEST, ValueError, Values};
 use flaxgap_roster::wire::{List, ListError, State};
 use flaxgap_roster::{Change, Roster, Source};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -24,14 +25,14 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How often a line that can't be read is made up for by the whole list before what was known has to do.
 const MAKE_UP: usize = 3;
+/// How long a list may take from its first byte to its last.
+const CUT_SHORT: Duration = Duration::from_secs(1);
 /// Of the parts of one list that can't be read, so many are logged.
 const LOGGED: usize = 8;
-/// Longest line, and longest list, that is read.
-const LONGEST_LINE: usize = 4 << 20;
 
 /// Why a call or a watch came to its end.
 #[derive(Debug, Error)]
@@ -60,9 +61,12 @@
     /// The list broke off, or is past any sensible length.
     #[error("list: {0}")]
     Body(String),
-    /// A line past any sensible length.
-    #[error("a line of over {LONGEST_LINE} bytes")]
-    TooLong,
+    /// A watch that can't be read on.
+    #[error("watch: {0}")]
+    Value(#[from] ValueError),
+    /// What began a list came to no end.
+    #[error("a list that does not end")]
+    CutShort,
     /// The watch was closed from the other side.
     #[error("the watch was closed")]
     Closed,
@@ -224,7 +228,7 @@
     async fn fetch(&self, address: SocketAddr) -> Result<List, DiscoveryError> {
         let call = async {
             let (response, guard) = get(address, "/api/targets".into()).await?;
-            let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
+            let body = Limited::new(response.into_body(), LONGEST).collect().await;
             let body = body.map_err(|problem| DiscoveryError::Body(problem.to_string()))?.to_bytes();
             drop(guard);
             Ok::<_, DiscoveryError>(body)
@@ -238,7 +242,7 @@
         Ok(list)
     }
 
-    /// Watches the changes after the version that the source has told, until the watch ends. A line that can't be read
+    /// Watches the changes after the version that the source has told, until the watch ends. What can't be read
     /// is passed over and `lost` told of it: to ask for it again would bring it again.
     async fn watch(&self, address: SocketAddr, source: &RefCell<Source>, lost: &Notify) -> WatchEnd {
         let path = format!("/api/targets?follow=1&since={}", source.borrow().cursor());
@@ -261,7 +265,8 @@
         lost: &Notify,
     ) -> DiscoveryError {
         let mut body = response.into_body();
-        let mut text = BytesMut::new();
+        let mut values = Values::default();
+        let mut begun = None;
         loop {
             let frame = timeout(SILENCE, body.frame()).await;
             let data = match frame {
@@ -270,28 +275,27 @@
                 Ok(Some(Err(problem))) => return problem.into(),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
-            text.extend_from_slice(&data);
-            while let Some(end) = text.iter().position(|b| *b == b'\n') {
-                let line = text.split_to(end);
-                text.advance(1);
-                if line.iter().all(u8::is_ascii_whitespace) {
-                    continue;
-                }
-                match List::parse(&line) {
+            values.push(&data);
+            while let Some(next) = values.next_list() {
+                match next {
                     Ok(list) => {
                         let kind = if list.all { "whole" } else { "changes" };
                         log::info!("discovery: version {}, {} entries, {kind}", list.rev, list.entries.len());
                         self.apply(list, &mut source.borrow_mut(), ListKind::Changes);
                     }
+                    Err(problem @ ValueError::TooLong { .. }) => return problem.into(),
                     Err(problem) => {
-                        log::warn!("discovery: a line passed over: {problem}");
+                        log::warn!("discovery: passed over: {problem}");
                         self.counters.bad_input.add();
                         lost.notify_one();
                     }
                 }
             }
-            if text.len() > LONGEST_LINE {
-                return DiscoveryError::TooLong;
+            // One that was cut short looks like one that is still to come.
+            begun = begun.or(Some(Instant::now())).filter(|_| values.unfinished());
+            if begun.is_some_and(|at| at.elapsed() > CUT_SHORT) {
+                lost.notify_one();
+                return DiscoveryError::CutShort;
             }
             if source.borrow().counts_anew(self.dispatcher.clock().now()) {
                 let (at, known) = (source.borrow().cursor(), self.roster.borrow().version());
