Show how old the list is and how long its source is silent; play outages under load

Stories against the program under load: outages of 150, 1300 and 3400 ms with a drain at the return, a start in an outage with and without an earlier list, watches that fall silent right before a drain four times, two SIGHUPs in an outage; no first byte later than 0.3 s after the drain.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// How often a line that can't be read is made up for by the whole list before what was known has to do.
 const MAKE_UP: usize = 3;
@@ -44,6 +44,9 @@
     /// Turns true with the first list that discovery itself gives.
     heard: watch::Sender<bool>,
     pacing: Pacing,
+    /// When a list last told something, and when its source last said a word.
+    changed: Cell<Instant>,
+    last_word: Cell<Instant>,
 }
 
 impl Directory {
@@ -59,7 +62,21 @@
         let heard = watch::Sender::new(false);
         let (named, zones) = (Cell::new(0), RefCell::new(zones));
         let (roster, names) = (RefCell::default(), RefCell::default());
-        Rc::new(Directory { dispatcher, nodes, counters, bans, roster, names, named, zones, heard, pacing })
+        let (changed, last_word) = (Cell::new(Instant::now()), Cell::new(Instant::now()));
+        Rc::new(Directory {
+            dispatcher,
+            nodes,
+            counters,
+            bans,
+            roster,
+            names,
+            named,
+            zones,
+            heard,
+            pacing,
+            changed,
+            last_word,
+        })
     }
 
     /// Waits until discovery itself has given a list.
@@ -73,11 +90,18 @@
         self.pacing.start()
     }
 
-    /// How many nodes are on the list, and how many of them get no work.
-    pub fn gauges(&self) -> [(&'static str, usize); 2] {
+    /// How many nodes are on the list, and how many of them get no work; for how many seconds the list has stood as it is,
+    /// and for how many its source has said nothing.
+    pub fn gauges(&self) -> [(&'static str, usize); 4] {
         let names = self.names.borrow();
         let out = names.iter().filter(|(name, l)| l.info.state != NodeState::Ready || self.bans.holds(name));
-        [("bricks_known", names.len()), ("bricks_excluded", out.count())]
+        let seconds = |at: &Cell<Instant>| at.get().elapsed().as_secs() as usize;
+        [
+            ("bricks_known", names.len()),
+            ("bricks_excluded", out.count()),
+            ("list_age_seconds", seconds(&self.changed)),
+            ("discovery_silent_seconds", seconds(&self.last_word)),
+        ]
     }
 
     /// Takes a node out by hand, or calls it back; false for one that was never listed.
@@ -123,6 +147,7 @@
             return;
         }
         self.counters.list_changes.add();
+        self.changed.set(Instant::now());
         for unread in list.unread.iter().take(LOGGED) {
             log::warn!("discovery: version {}, {unread}", list.rev);
         }
@@ -232,7 +257,12 @@
         loop {
             let anew = told.counts_anew(self.dispatcher.clock().now());
             let cursor = told.cursor();
-            match contact.next(|| if anew || whole.take() { Ask::Whole } else { Ask::Since(cursor) }).await {
+            let news =
+                contact.next(|| if anew || whole.take() { Ask::Whole } else { Ask::Since(cursor) }).await;
+            if matches!(news, News::List(..) | News::Alive) {
+                self.last_word.set(Instant::now());
+            }
+            match news {
                 News::List(list, ask) => {
                     if ask == Ask::Whole {
                         whole.told();
@@ -262,7 +292,12 @@
                     contact.hasten();
                 }
                 News::Lost => self.counters.watches_lost.add(),
-                News::Silent(span) => log::warn!("discovery: {address} silent for {span:?}"),
+                News::Silent(span) => {
+                    let (version, age) = (self.roster.borrow().version(), self.changed.get().elapsed());
+                    log::warn!(
+                        "discovery: {address} silent for {span:?}; the list is at version {version}, told {age:?} ago"
+                    );
+                }
             }
             if told.is_behind() {
                 contact.doubt();
--- a/tests/stories_leaving.rs
+++ b/tests/stories_leaving.rs
@@ -3,8 +3,8 @@
 
 mod peers;
 use peers::*;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 fn read() -> String {
@@ -338,3 +338,150 @@
     assert_eq!(old.seen().len(), 1);
     std::fs::remove_dir_all(folder).expect("removed");
 }
+
+/// How long after it is told a node that leaves may get something new: the settings' grace and the platform's slack.
+const GRACE: Duration = Duration::from_millis(300);
+
+/// A node that notes when requests reached it.
+fn timed(name: &'static str) -> (Brick, Arc<Mutex<Vec<Instant>>>) {
+    let times: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let noted = times.clone();
+    let brick = Brick::start(move |_, _| {
+        noted.lock().expect("times").push(Instant::now());
+        Step::Serve(name.into())
+    });
+    (brick, times)
+}
+
+/// Asks without a pause over some connections for as long as `work` takes.
+fn under_load<R>(http: std::net::SocketAddr, work: impl FnOnce() -> R) -> R {
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                let mut client = Client::new(http);
+                while !over.load(Ordering::SeqCst) {
+                    client.ask(&read(), b"");
+                }
+            });
+        }
+        let result = work();
+        over.store(true, Ordering::SeqCst);
+        result
+    })
+}
+
+fn none_after(times: &Mutex<Vec<Instant>>, told: Instant, what: &str) {
+    let late: Vec<_> =
+        times.lock().expect("times").iter().filter_map(|t| t.checked_duration_since(told)).collect();
+    let late: Vec<_> = late.into_iter().filter(|late| *late > GRACE).collect();
+    assert!(late.is_empty(), "{what}: {} sent late, the last {:?}", late.len(), late.last());
+}
+
+/// Given an agent that is cut off for a while, when it returns and holds a drain, then under load nothing new goes to the
+/// node once the grace is over, whatever the watch was doing.
+#[test]
+fn a_drain_that_an_agent_has_at_its_return_is_kept_under_load() {
+    for millis in [150, 1300, 3400] {
+        let ((old, times), new) = (timed("old"), brick("new"));
+        let discovery =
+            Discovery::start(&[entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 0, "ready")]);
+        let head = Head::start(&discovery, None, &[]);
+        under_load(head.http, || {
+            std::thread::sleep(Duration::from_millis(200));
+            discovery.cut_off(true);
+            std::thread::sleep(Duration::from_millis(millis));
+            discovery.push(&[entry("s-1", old.address, 0, "draining")]);
+            let told = Instant::now();
+            discovery.cut_off(false);
+            std::thread::sleep(Duration::from_millis(700));
+            none_after(&times, told, &format!("an outage of {millis} ms"));
+        });
+        assert!(!times.lock().expect("times").is_empty());
+        assert_eq!(head.logged("is back after").is_some(), millis > 1000);
+    }
+}
+
+/// Given a head that starts while its agent is cut off, with an earlier list or with none, when the agent returns with a
+/// drain, then nothing new goes to the node once the grace is over.
+#[test]
+fn a_head_that_starts_in_an_outage_keeps_the_drain_at_its_end() {
+    for known in [true, false] {
+        let ((old, times), new) = (timed("old"), brick("new"));
+        let discovery =
+            Discovery::start(&[entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 0, "ready")]);
+        discovery.cut_off(true);
+        let returns = discovery.clone();
+        let address = old.address;
+        let back = std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(3300));
+            returns.push(&[entry("s-1", address, 0, "draining")]);
+            let told = Instant::now();
+            returns.cut_off(false);
+            told
+        });
+        let list = if known { discovery.whole() } else { "null".into() };
+        let head = Head::start_text(&config(&discovery, 1024, &list), None, &[]);
+        assert_eq!(head.logged("earlier life").is_some(), known);
+        under_load(head.http, || {
+            let told = back.join().expect("its return");
+            std::thread::sleep(Duration::from_millis(700));
+            none_after(&times, told, &format!("known: {known}"));
+        });
+        assert!(!known || !times.lock().expect("times").is_empty(), "it serves from its earlier list");
+    }
+}
+
+/// Given a watch that falls silent for good right before a drain, once and again, then each drain is kept.
+#[test]
+fn a_watch_that_falls_silent_right_before_a_drain_keeps_nothing_back() {
+    let ((old, times), new) = (timed("old"), brick("new"));
+    let discovery =
+        Discovery::start(&[entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 0, "ready")]);
+    let head = Head::start(&discovery, None, &[]);
+    under_load(head.http, || {
+        for round in 0..4 {
+            std::thread::sleep(Duration::from_millis(137));
+            discovery.hush();
+            discovery.push(&[entry("s-1", old.address, 0, "draining")]);
+            let told = Instant::now();
+            std::thread::sleep(Duration::from_millis(500));
+            none_after(&times, told, &format!("round {round}"));
+            discovery.push(&[entry("s-1", old.address, 0, "ready")]);
+            let before = times.lock().expect("times").len();
+            wait(|| (times.lock().expect("times").len() > before).then_some(()));
+        }
+    });
+}
+
+/// Given SIGHUP in an outage of the old source, to one that is silent too, and once more before that is done, when the
+/// last one returns with a drain, then it is kept.
+#[test]
+fn a_move_to_a_source_that_is_silent_ends_with_its_return() {
+    let ((old, times), new) = (timed("old"), brick("new"));
+    let ready = [entry("s-1", old.address, 0, "ready"), entry("s-2", new.address, 0, "ready")];
+    let [first, second, third] = [0; 3].map(|_| Discovery::start(&ready));
+    let head = Head::start(&first, None, &[]);
+    for source in [&first, &second, &third] {
+        source.cut_off(true);
+    }
+    under_load(head.http, || {
+        for source in [&second, &third] {
+            head.reload(&config(source, 1024, "null"));
+            wait(|| (!source.asked().is_empty()).then_some(()));
+        }
+        std::thread::sleep(Duration::from_millis(1200));
+        let (drain, whole) =
+            (entry("s-1", old.address, 0, "draining"), entry("s-2", new.address, 0, "ready"));
+        third.replace(&[drain, whole]);
+        let told = Instant::now();
+        third.cut_off(false);
+        wait(|| head.logged("now at"));
+        std::thread::sleep(Duration::from_millis(500));
+        none_after(&times, told, "a move");
+    });
+    assert!(!times.lock().expect("times").is_empty());
+    let asked = second.asked().len();
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(second.asked().len(), asked, "a source that is no more is not asked");
+}
