--- a/tests/stories_leaving.rs
+++ b/tests/stories_leaving.rs
@@ -355,6 +355,13 @@
 
 /// Asks without a pause over some connections for as long as `work` takes.
 fn under_load<R>(http: std::net::SocketAddr, work: impl FnOnce() -> R) -> R {
+    /// Ends the load also where `work` fails.
+    struct Over<'a>(&'a AtomicBool);
+    impl Drop for Over<'_> {
+        fn drop(&mut self) {
+            self.0.store(true, Ordering::SeqCst);
+        }
+    }
     let over = AtomicBool::new(false);
     std::thread::scope(|scope| {
         for _ in 0..4 {
@@ -365,9 +372,8 @@
                 }
             });
         }
-        let result = work();
-        over.store(true, Ordering::SeqCst);
-        result
+        let _over = Over(&over);
+        work()
     })
 }
 
