Keep a call for the whole list until it ends, so that a watch follows it

Cause: contact dropped the call as soon as it spoke, and with it the word of its end. Where the answer ends later than its list, a head that asks a shared service never opened its watch; an answer that begins with a blank line was dropped before its list, each time. Change: it stays until it ends by itself, and a blank on it is no word. Without drain_grace in the settings the strictest pace holds. Measured: a test in virtual time plays both, shared and own; it fails without the change (never heard).

--- a/src/config.rs
+++ b/src/config.rs
@@ -186,10 +186,6 @@
     usize::MAX
 }
 
-fn default_drain_grace() -> f64 {
-    0.25
-}
-
 fn default_connect_timeout() -> f64 {
     0.25
 }
@@ -235,7 +231,8 @@
     budget_share: Option<f64>,
     budget_window: Option<f64>,
     cold_from: f64,
-    #[serde(default = "default_drain_grace")]
+    /// Where it is not told, the strictest.
+    #[serde(default)]
     drain_grace: f64,
     fall: f64,
     order_pause: Option<f64>,
--- a/src/contact.rs
+++ b/src/contact.rs
@@ -286,8 +286,8 @@
         let call = self.out.drain(..=place).next_back()?;
         let ask = call.ask;
         match ask {
-            // It ends by itself, and has nothing more to say.
-            Ask::Whole => {}
+            // It ends by itself, and says so.
+            Ask::Whole => self.out.insert(0, call),
             Ask::Since(_) => self.standing = Some(call),
         }
         Some(ask)
@@ -335,15 +335,11 @@
         // A list that was cut short looks like one that is still to come.
         let whole_by = begun.map_or(until, |begun: Instant| begun + spans.call);
         let data = match timeout_at(until.min(whole_by), body.frame()).await {
-            Err(_) if begun.is_some() => {
+            Err(_) | Ok(None) if begun.is_some() => {
                 say(Said::Unread(CallError::CutShort)).await;
                 return Err(CallError::CutShort);
             }
             Err(_) => return Err(CallError::Silent(silence)),
-            Ok(None) if begun.is_some() => {
-                say(Said::Unread(CallError::CutShort)).await;
-                return Err(CallError::CutShort);
-            }
             Ok(None) if ask == Ask::Whole && whole => return Ok(()),
             Ok(None) => return Err(CallError::Closed),
             Ok(Some(frame)) => frame?.into_data().unwrap_or_default(),
@@ -380,7 +376,7 @@
         }
         begun = None;
         silence = spans.silence;
-        if !spoke && !data.is_empty() {
+        if !spoke && !data.is_empty() && ask != Ask::Whole {
             say(Said::Word).await;
         }
     }
@@ -676,4 +672,54 @@
             assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
         });
     }
+
+    /// Given a whole list whose answer ends, or whose first bytes are blank, some time apart from the list itself, when it
+    /// has come, then a watch is opened after it, at a shared service too, where no other call would be made.
+    #[test]
+    fn a_whole_list_in_pieces_is_heard_and_followed() {
+        #[derive(Clone)]
+        struct Pieces;
+        impl Dial for Pieces {
+            type Stream = DuplexStream;
+            async fn dial(&self, _: SocketAddr) -> io::Result<DuplexStream> {
+                let (near, mut far) = duplex(4096);
+                spawn_local(async move {
+                    let mut head = [0; 1024];
+                    let length = far.read(&mut head).await.unwrap_or(0);
+                    let watch = String::from_utf8_lossy(&head[..length]).contains("follow=1");
+                    _ = far.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+                    if watch {
+                        _ = say(&mut far, "{\"rev\":2,\"targets\":[]}").await;
+                        return closed(&mut far).await;
+                    }
+                    for text in ["", "{\"rev\":1,\"all\":true,\"targets\":[]}", ""] {
+                        _ = say(&mut far, text).await;
+                        sleep(Duration::from_millis(30)).await;
+                    }
+                    _ = far.write_all(b"0\r\n\r\n").await;
+                });
+                Ok(near)
+            }
+        }
+        for shared in [true, false] {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+            LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+                let pacing = Pacing::new(1, 1, shared, GRACE);
+                let mut contact = Contact::new(Pieces, ([127, 0, 0, 1], 1).into(), &pacing);
+                let (mut told, began) = (0, Instant::now());
+                while told < 2 {
+                    match contact.next(|| if told == 0 { Ask::Whole } else { Ask::Since(1) }).await {
+                        News::List(list, _) => told = list.rev,
+                        _ => assert!(began.elapsed() < Duration::from_secs(2), "shared: {shared}, at {told}"),
+                    }
+                }
+                assert!(
+                    began.elapsed() < Duration::from_millis(200),
+                    "shared: {shared}: {:?}",
+                    began.elapsed()
+                );
+            });
+        }
+    }
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -328,7 +328,7 @@
  {"aim":0.4,"deadline":2.0,"group":"cell","idempotency":"keyed","repeat_window":3.0,"name":"episode-save","worth":2.0}],
  "domain":{"changes_data":[false,true],"cold_units":42.0,"idle_worth":0.08,"unit_mean":2.05,"units_top":8,
  "use_period":1.0,"within_share":0.35},
- "guarantees":{"cold_from":0.17,"fall":3.0,"tip_multiple":3.0,"warm_within":16.0},"membership_mode":"push",
+ "guarantees":{"cold_from":0.17,"drain_grace":0.25,"fall":3.0,"tip_multiple":3.0,"warm_within":16.0},"membership_mode":"push",
  "n_instances":1,"period":0.002,"report":{"names":["rif"],"source":"answers"},"zones":["a"],
  "service_levels":[{"base_rate":2.0,"cap_slack":8.0,"limit":4.0,"limit_burst":40.0,"name":"community",
  "reserve":1.7,"value_factor":0.96,"weight":1.0},
