One place closes a client's connection, one gate lets a request begin

Cause, by reading, each with the lines at fault: front/http.rs ended a connection on its idle time and on scarce descriptors without asking whether bytes waited unread (only the shutdown asked), and dropped the socket over unread bytes, so that a reset could take the answer before. front/intake.rs handed later requests to hyper while one was answered; hyper reads no further once it holds some, so the client's end behind them was never seen; after a head of doubtful length it read no more at all. An idle time ran while an answer was still going out to a slow reader. node.rs asked for the node's state at the first byte, but not for the retry window, the client, the head's end or the deadline, and asked whether something had come on a connection before it was handed the request. core.rs called an attempt that was called off one that may have run, whatever was written of it. daemon.rs asked the runtime, not the system, for what waits to be accepted, and gave that up where no descriptor was free.

Change: converse() in front/http.rs alone decides that a connection ends, front/closing.rs ends it (end of stream, then what comes is dropped for 2 s at most, 20 ms where descriptors are scarce; a reset where an answer broke off). The intake hands on one request at a time and goes on reading; past one head ahead it drops. core::Permit carries the deadline, the window, the head's end and the client to the gate, which also looks at the connection; what was written comes back, so that an attempt of which not all was is known not to have run. The last accept loop asks the system and waits for descriptors until the end. Counters for each. The gate's test has moved to src/node/tests.rs unchanged but for the permit; no idle connection is peeked at before, but at, the first byte.

--- a/src/core.rs
+++ b/src/core.rs
@@ -14,6 +14,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -105,6 +106,12 @@
     pub payload: Payload,
 }
 
+/// Whoever waits for an answer, as its front knows it.
+pub trait Client: fmt::Debug {
+    /// Whether it still does, at this moment.
+    fn waits(&self) -> bool;
+}
+
 /// A request as a front hands it over.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -126,6 +133,8 @@
     pub repeat: bool,
     /// When the client stops waiting.
     pub deadline: Instant,
+    /// Who waits for it, where the front can tell at any moment; otherwise a client that leaves drops the call.
+    pub client: Option<Rc<dyn Client>>,
     /// What goes to the node.
     pub envelope: Rc<Envelope>,
 }
@@ -150,12 +159,77 @@
     }
 }
 
+/// How much of an attempt's request has been written to its node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Written {
+    /// Nothing: as far as the node goes, there was no attempt.
+    #[default]
+    Nothing,
+    /// Some: the node can't have begun.
+    Part,
+    /// All: it may have run.
+    All,
+}
+
+/// Why an attempt's first byte may not be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Late {
+    /// Its time is over.
+    Deadline,
+    /// The time in which its class lets it be sent again is over.
+    Window,
+    /// The head is past its last moment.
+    End,
+    /// Its client has left.
+    Client,
+}
+
+/// An attempt's leave to begin, as the core knows it, and what has become of it. A transport asks it right before the
+/// first byte: a connection may have taken long to come up, and what held when the module chose may hold no more.
+#[derive(Debug)]
+pub struct Permit {
+    /// By when the attempt ends.
+    pub until: Instant,
+    /// By when it has to have begun: for a further attempt, the end of its class's retry window.
+    pub window: Option<Instant>,
+    /// When the head is to have answered all; set while the attempt may be out.
+    pub last: Rc<Cell<Option<Instant>>>,
+    /// Who waits for it.
+    pub client: Option<Rc<dyn Client>>,
+    /// What of it was written, for the core to read when the attempt is over.
+    pub written: Cell<Written>,
+}
+
+impl Permit {
+    /// For an attempt that has all its time, whose client waits.
+    pub fn until(until: Instant) -> Permit {
+        Permit { until, window: None, last: Rc::default(), client: None, written: Cell::default() }
+    }
+
+    /// Why it may not begin at this moment, if it may not.
+    pub fn late(&self, now: Instant) -> Option<Late> {
+        let over = |at: Option<Instant>| at.is_some_and(|at| now >= at);
+        match self {
+            _ if over(Some(self.until)) => Some(Late::Deadline),
+            _ if over(self.window) => Some(Late::Window),
+            _ if over(self.last.get()) => Some(Late::End),
+            _ if self.client.as_ref().is_some_and(|client| !client.waits()) => Some(Late::Client),
+            _ => None,
+        }
+    }
+
+    /// The latest moment at which it makes sense to wait for a way to the node.
+    pub fn begin_by(&self) -> Instant {
+        [self.window, self.last.get()].into_iter().flatten().fold(self.until, Instant::min)
+    }
+}
+
 /// Carries attempts to nodes.
 pub trait Transport {
-    /// One attempt. It ends by `until`, or, once it has begun to pass data on that are not held, when these
-    /// say so. Dropping it calls it off: when the drop returns, nothing of
-    /// it can reach the node any more. It never sends twice.
-    fn send(&self, node: NodeId, envelope: &Envelope, until: Instant) -> impl Future<Output = Reply>;
+    /// One attempt. It ends by its permit's time, or, once it has begun to pass data on that are not held, when these
+    /// say so; before its first byte it asks the permit, and it notes there what it has written. Dropping it calls it
+    /// off: when the drop returns, nothing of it can reach the node any more. It never sends twice.
+    fn send(&self, node: NodeId, envelope: &Envelope, permit: &Rc<Permit>) -> impl Future<Output = Reply>;
 }
 
 /// The one final answer.
@@ -184,7 +258,7 @@
 
 /// The module's word on one request.
 enum Choice {
-    Send { attempt: usize, node: NodeId, abandon_at: f64 },
+    Send { attempt: usize, node: NodeId, abandon_at: f64, at: Instant },
     Cancel,
     Refuse { wait: f64 },
     Fail,
@@ -241,6 +315,10 @@
     /// What the module has taken of the core since the watch began.
     spent: Cell<Duration>,
     finish_by: watch::Sender<Option<Instant>>,
+    /// The same, for permits.
+    last: Rc<Cell<Option<Instant>>>,
+    /// For how long after its first attempt that may have run each class may be sent again.
+    windows: Vec<Option<Duration>>,
     ids: RefCell<Ids>,
 }
 
@@ -253,6 +331,11 @@
         counters: Rc<Counters>,
     ) -> Result<Rc<Dispatcher>, SettingsError> {
         let tick = seconds(settings.tick);
+        let window = |class: &Class| match class.repeat {
+            Repeat::Keyed { window, .. } => Some(seconds(window)),
+            Repeat::Safe | Repeat::Unsafe => None,
+        };
+        let windows = settings.classes.iter().map(window).collect();
         let scheduler = Scheduler::new(settings, seed, clock.now())?;
         let (mailboxes, wakes, pending) = (HashMap::new(), BinaryHeap::new(), Vec::new());
         let next_call = Instant::now();
@@ -261,7 +344,20 @@
         let (woken, observer) = (Notify::new(), RefCell::new(None));
         let (finish_by, ids) = (watch::Sender::new(None), RefCell::default());
         let (watch, spent) = Default::default();
-        Ok(Rc::new(Dispatcher { state, clock, woken, counters, observer, watch, spent, finish_by, ids }))
+        let last = Rc::default();
+        Ok(Rc::new(Dispatcher {
+            state,
+            clock,
+            woken,
+            counters,
+            observer,
+            watch,
+            spent,
+            finish_by,
+            last,
+            windows,
+            ids,
+        }))
     }
 
     /// Has an observer see all requests from now on.
@@ -329,6 +425,7 @@
     /// What is in hand, and what is taken from now on, is answered by this moment, since the program ends. The
     /// module is not told: it would read the shorter time as a client's that has waited before.
     pub fn finish_by(&self, at: Instant) {
+        self.last.set(Some(at));
         self.finish_by.send_replace(Some(at));
     }
 
@@ -377,7 +474,7 @@
                     let attempt = mailbox.sends;
                     mailbox.sends += 1;
                     mailbox.out = Some((attempt, self.clock.now()));
-                    (request, Choice::Send { attempt, node, abandon_at })
+                    (request, Choice::Send { attempt, node, abandon_at, at: Instant::now() })
                 }
                 Action::Cancel { request, .. } => (request, Choice::Cancel),
                 Action::Refuse { request, wait } => (request, Choice::Refuse { wait }),
@@ -433,14 +530,16 @@
         let upload = call.envelope.payload.upload();
         let passing = || upload.is_some_and(|upload| upload.spent());
         let mut finished = std::pin::pin!(self.finished());
-        let (mut overdue, mut sent, mut cut) = (call.deadline + OVERDUE, false, false);
+        let (mut overdue, mut cut) = (call.deadline + OVERDUE, false);
+        // From the first attempt that may have run: whether there was one, and when a class with a window is past it.
+        let (mut ran, mut window) = (false, None);
         let answer = loop {
             let choice = tokio::select! {
                 biased;
                 choice = ticket.mail.recv() => choice,
                 () = finished.as_mut(), if !passing() => {
                     cut = true;
-                    break if sent { failed(&flight) } else { refused(0.0, &flight) };
+                    break if ran { failed(&flight) } else { refused(0.0, &flight) };
                 }
                 // Guards against a module that owes an answer: the client gets one in any case.
                 () = sleep_until(overdue) => {
@@ -450,12 +549,17 @@
                 }
             };
             match choice {
-                Choice::Send { attempt, node, abandon_at } => {
-                    sent = true;
-                    let until = self.clock.instant(abandon_at).min(overdue);
+                Choice::Send { attempt, node, abandon_at, at } => {
+                    let permit = Rc::new(Permit {
+                        until: self.clock.instant(abandon_at).min(overdue),
+                        window,
+                        last: self.last.clone(),
+                        client: call.client.clone(),
+                        written: Cell::default(),
+                    });
                     // The mail comes first: an attempt called off before its first byte is never written.
                     // A request that is held is not to carry the room of its attempt.
-                    let mut sending = Box::pin(transport.send(node, &call.envelope, until));
+                    let mut sending = Box::pin(transport.send(node, &call.envelope, &permit));
                     let ended = loop {
                         tokio::select! {
                             biased;
@@ -468,13 +572,27 @@
                             }
                         }
                     };
+                    // From here on nothing of it can reach the node, and what was written of it is known.
+                    drop(sending);
                     if passing() {
                         overdue = overdue.max(Instant::now() + OVERDUE);
                     }
+                    let ended = ended.map(|ended| ended.map_err(|later| (later, called_off(&permit))));
+                    let outcome = match &ended {
+                        Some(Ok(reply)) => reply.outcome,
+                        Some(Err((_, outcome))) => *outcome,
+                        None => called_off(&permit),
+                    };
+                    if !outcome.never_ran() {
+                        ran = true;
+                        let closes =
+                            self.windows.get(call.class.0).copied().flatten().map(|window| at + window);
+                        window = window.or(closes);
+                    }
                     match ended {
                         None => {
                             cut = true;
-                            break failed(&flight);
+                            break if ran { failed(&flight) } else { refused(0.0, &flight) };
                         }
                         Some(Ok(reply)) => {
                             let served = reply.outcome == Outcome::Ok;
@@ -483,8 +601,8 @@
                                 break Answer::Served(reply.body, flight);
                             }
                         }
-                        Some(Err(later)) => {
-                            self.report(&ticket, attempt, &Reply::empty(Outcome::Cancelled), upload);
+                        Some(Err((later, outcome))) => {
+                            self.report(&ticket, attempt, &Reply::empty(outcome), upload);
                             match later {
                                 Choice::Refuse { wait } => break refused(wait, &flight),
                                 Choice::Fail => break failed(&flight),
@@ -565,6 +683,14 @@
     }
 }
 
+/// How an attempt ended that was called off: one that its node never had whole can't have run.
+fn called_off(permit: &Permit) -> Outcome {
+    match permit.written.get() {
+        Written::Nothing | Written::Part => Outcome::Moot,
+        Written::All => Outcome::Cancelled,
+    }
+}
+
 /// Waits until data that are not held begin to pass on.
 async fn started(upload: Option<&Rc<Upload>>) {
     match upload {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -128,10 +128,26 @@
     moot,
     /// Attempts stopped before their first byte since the node had left by then, or had moved.
     held_back,
+    /// Attempts stopped before their first byte since their time was over by then.
+    held_back_deadline,
+    /// The same since their class's retry window had closed.
+    held_back_window,
+    /// The same since the head was past its last moment.
+    held_back_end,
+    /// The same since their client had left.
+    held_back_client,
+    /// First bytes not written to a connection since something had come on it unasked; another was taken.
+    held_back_connection,
     /// Connections opened to nodes.
     node_connections,
     /// Connections accepted from clients.
     client_connections,
+    /// Connections of clients on which more came after their end than was read: it was dropped.
+    lingered,
+    /// Connections ended since their client sent more ahead of its answers than is held.
+    floods,
+    /// Connections of clients that were reset, since an answer broke off in the middle.
+    broken_off,
     /// Connections of the HTTP/2 front.
     http2_connections,
     /// Streams that it took.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,7 +5,7 @@
 use crate::config::Config;
 use crate::core::{Clock, Dispatcher};
 use crate::counters::Counters;
-use crate::descriptors::{Budget, Side};
+use crate::descriptors::Budget;
 use crate::discovery::Directory;
 use crate::export;
 use crate::front::block::BlockFront;
@@ -30,11 +30,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// After SIGTERM: how long new connections are accepted at least, and the longest deadline that the
 /// platform waits out past that before it ends the program itself.
@@ -44,6 +44,8 @@
 /// clients go on using the connections they have, and find no other head for their volumes.
 const WIND_UP: Duration = Duration::from_millis(450);
 const LAST_ANSWER: Duration = Duration::from_millis(100);
+/// Pause after the system would not give a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 
@@ -346,9 +348,23 @@
         }
         phases.close_idle();
         // What the system has accepted for us counts as taken, unless a newer process takes it.
-        while let Some(slot) = desk.budget.slot(Side::Client).filter(|_| !handover.has_yielded()) {
-            let Ok(Ok((stream, _))) = timeout_at(Instant::now(), listener.accept()).await else { break };
-            front.admit(stream, slot);
+        while !handover.has_yielded() {
+            // Connections that rest are closing, so there will be a slot; what waits for one is not reset.
+            let Ok(slot) = timeout_at(end, desk.budget.client_slot()).await else { break };
+            match waiting(&listener) {
+                Ok(Some(stream)) => front.admit(stream, slot),
+                Ok(None) => break,
+                Err(problem) if Instant::now() < end => {
+                    log::warn!("http: accept: {problem}");
+                    drop(slot);
+                    desk.budget.reclaim();
+                    sleep(ACCEPT_PAUSE).await;
+                }
+                Err(problem) => {
+                    log::error!("http: accept: {problem}; what waits is reset");
+                    break;
+                }
+            }
         }
         drop(listener);
         handover.close();
@@ -361,6 +377,20 @@
     }
 }
 
+/// A connection that waits to be accepted, by the system's word: the runtime may not have heard of it.
+fn waiting(listener: &TcpListener) -> io::Result<Option<TcpStream>> {
+    match socket2::SockRef::from(listener).accept() {
+        Ok((socket, _)) => {
+            socket.set_nonblocking(true)?;
+            TcpStream::from_std(socket.into()).map(Some)
+        }
+        Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        // It was given up by its client while it waited.
+        Err(problem) if problem.kind() == io::ErrorKind::ConnectionAborted => waiting(listener),
+        Err(problem) => Err(problem),
+    }
+}
+
 /// Listens at an address: with the socket that an older process passed on, or with one of its own, which can
 /// be `shared` with another process of this head.
 fn listen(
--- a/src/front/block/session.rs
+++ b/src/front/block/session.rs
@@ -522,6 +522,7 @@
             hosts: lun.hosts,
             repeat: false,
             deadline,
+            client: None,
             envelope: Rc::new(envelope),
         };
         let abort = self.running.spawn_local(async move {
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -1,8 +1,9 @@
 //! The platform's front: HTTP/1.1, as a tower service over hyper.
 
-use crate::core::Transport;
+use crate::core::{Client, Transport};
 use crate::descriptors::Slot;
-use crate::front::intake::{Intake, LONGEST_HEAD, MOST_FIELDS, Watch, quiet};
+use crate::front::closing::{self, Why};
+use crate::front::intake::{Conversation, Intake, LONGEST_HEAD, MOST_FIELDS};
 use crate::front::request::{Desk, Outgoing};
 use flaxgap_streams::frames::{Head, kind};
 use hyper::body::Incoming;
@@ -25,6 +26,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// How long a new connection may wait with its first request once the program ends.
 const FIRST_REQUEST: Duration = Duration::from_millis(300);
+/// How often a client is looked after whose request is served while some of its body waits, unread, before its end.
+const LOOK: Duration = Duration::from_millis(100);
+/// How soon a connection is looked at again on which something has come that the runtime has not heard of.
+const HEARD: Duration = Duration::from_millis(5);
+
 /// The HTTP/1.1 front.
 pub struct HttpFront<T> {
     /// What it shares with other fronts.
@@ -43,22 +49,23 @@
 struct Service<T> {
     front: Rc<HttpFront<T>>,
     slot: Rc<Slot>,
-    close: Rc<Notify>,
-    watch: Rc<Watch>,
+    scarce: Rc<Notify>,
+    conversation: Rc<Conversation>,
 }
 
 impl<T> Clone for Service<T> {
     fn clone(&self) -> Self {
-        let Service { front, slot, close, watch } = self;
-        Service { front: front.clone(), slot: slot.clone(), close: close.clone(), watch: watch.clone() }
+        let Service { front, slot, scarce, conversation } = self;
+        let (front, slot) = (front.clone(), slot.clone());
+        Service { front, slot, scarce: scarce.clone(), conversation: conversation.clone() }
     }
 }
 
 impl<T> Service<T> {
     /// Between two requests: may be closed if descriptors run short.
     fn rest(&self) {
-        let close = self.close.clone();
-        self.slot.idle(move || close.notify_one());
+        let scarce = self.scarce.clone();
+        self.slot.idle(move || scarce.notify_one());
     }
 }
 
@@ -73,18 +80,19 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let service = self.clone();
-        let grace = self.watch.grace();
-        let doubtful = self.watch.serving();
+        let conversation = self.conversation.clone();
+        let (grace, doubtful) = (conversation.grace(), conversation.serving());
         Box::pin(async move {
             service.slot.busy();
-            let mut response = service.front.desk.answer(request, grace, doubtful).await;
+            let desk = &service.front.desk;
+            let mut response = desk.answer(request, grace, doubtful, Some(conversation.clone())).await;
             // Not where another request is on its way already: it would be lost.
-            let close = service.front.desk.phases.leaving() || service.front.desk.budget.crowded();
-            if close && !service.watch.more() {
+            let close = conversation.closing() || desk.phases.leaving() || desk.budget.crowded();
+            if close && conversation.last() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             response.body_mut().at_end(move || {
-                service.watch.answered();
+                conversation.answered();
                 service.rest();
             });
             Ok(response)
@@ -109,65 +117,103 @@
         }
     }
 
-    /// Serves one connection in a task of its own.
+    /// Serves one connection in a task of its own, from its acceptance to its close.
     pub fn admit(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         self.desk.counters.client_connections.add();
         if let Err(problem) = stream.set_nodelay(true) {
             log::debug!("http: {problem}");
         }
-        let (slot, close, watch) = (Rc::new(slot), Rc::new(Notify::new()), Rc::new(Watch::default()));
-        let closer = close.clone();
-        slot.silent(move || closer.notify_one());
-        let service = Service { front: self.clone(), slot, close: close.clone(), watch: watch.clone() };
+        let (slot, scarce, stream) = (Rc::new(slot), Rc::new(Notify::new()), Rc::new(stream));
+        let conversation = Conversation::new(stream.clone(), self.desk.counters.clone());
+        let notify = scarce.clone();
+        slot.silent(move || notify.notify_one());
         let guard = self.desk.phases.connection();
-        let mut closing = self.desk.phases.subscribe_closing();
+        let service = Service { front: self.clone(), slot, scarce: scarce.clone(), conversation };
+        let front = self.clone();
         tokio::task::spawn_local(async move {
             let _guard = guard;
-            let stream = Rc::new(stream);
-            let io = TokioIo::new(Intake::new(stream.clone(), watch.clone()));
-            let mut http = http1::Builder::new();
-            http.max_buf_size(LONGEST_HEAD).max_headers(MOST_FIELDS);
-            let mut connection = std::pin::pin!(http.serve_connection(io, TowerToHyperService::new(service)));
-            // Told to close before it has read anything, hyper closes at once: a request that came with a
-            // late connection, written but not yet read, would be lost.
-            let opened = Instant::now();
-            let end = async {
-                let _ = closing.wait_for(|closing| *closing).await;
-                sleep_until(opened + FIRST_REQUEST).await;
+            // Held to the end: the connection takes its descriptor for as long.
+            let _slot = service.slot.clone();
+            let (why, short) = front.converse(&stream, service).await;
+            let scarce = async {
+                if !short {
+                    scarce.notified().await;
+                }
             };
-            let (mut end, mut told, mut ending) = (std::pin::pin!(end), false, false);
-            let mut due = std::pin::pin!(sleep_until(watch.due().unwrap_or(opened)));
-            let ended = loop {
-                tokio::select! {
-                    biased;
-                    ended = connection.as_mut() => break ended,
-                    () = close.notified(), if !told => {}
-                    // What has come and was not read yet is answered, and ends the connection.
-                    () = end.as_mut(), if !told && !ending => {
-                        ending = true;
-                        if !quiet(&stream) {
-                            continue;
-                        }
+            closing::end(&stream, why, scarce, &front.desk.counters).await;
+        });
+    }
+
+    /// Reads requests and answers them until the connection is to end; why it is, and whether descriptors ran short.
+    /// The one place that decides that: a connection ends while it rests and nothing has come on it, not even unread;
+    /// with an answer that says so; or when what has begun on it does not go on in time.
+    async fn converse(&self, stream: &Rc<TcpStream>, service: Service<T>) -> (Why, bool) {
+        let Service { scarce, conversation, .. } = service.clone();
+        let mut closing = self.desk.phases.subscribe_closing();
+        let io = TokioIo::new(Intake::new(conversation.clone()));
+        let mut http = http1::Builder::new();
+        http.max_buf_size(LONGEST_HEAD).max_headers(MOST_FIELDS);
+        let mut connection = std::pin::pin!(http.serve_connection(io, TowerToHyperService::new(service)));
+        // A late connection's first request may have been written and not read yet.
+        let opened = Instant::now();
+        let end = async {
+            let _ = closing.wait_for(|closing| *closing).await;
+            sleep_until(opened + FIRST_REQUEST).await;
+        };
+        let (mut end, mut ends, mut short) = (std::pin::pin!(end), false, false);
+        let mut due = std::pin::pin!(sleep_until(conversation.due().unwrap_or(opened)));
+        let mut look = std::pin::pin!(sleep_until(opened));
+        let mut looks = false;
+        loop {
+            if conversation.closing() && conversation.rests() && conversation.quiet() {
+                return (if conversation.fresh() { Why::Unused } else { Why::Done }, short);
+            }
+            if looks != conversation.receives() {
+                looks = !looks;
+                look.as_mut().reset(Instant::now() + LOOK);
+            }
+            tokio::select! {
+                biased;
+                ended = connection.as_mut() => {
+                    if let Err(problem) = &ended {
+                        log::debug!("http: connection ended: {problem}");
                     }
-                    () = watch.moved() => {
-                        if let Some(at) = watch.due() {
-                            due.as_mut().reset(at);
-                        }
-                        continue;
+                    if conversation.speaks_http2() {
+                        log::info!("http: HTTP/2 on the port of HTTP/1.1");
+                        let told = stream.try_write(&use_http1());
+                        log::debug!("http: told so: {told:?}");
                     }
-                    () = due.as_mut(), if watch.due().is_some() => break Ok(()),
+                    let broken = ended.is_err_and(|problem| problem.is_user());
+                    return (if broken { Why::BrokenOff } else { Why::Done }, short);
+                }
+                () = scarce.notified(), if !short => {
+                    short = true;
+                    conversation.close();
+                }
+                () = end.as_mut(), if !ends => {
+                    ends = true;
+                    conversation.close();
+                }
+                () = conversation.moved() => {
+                    if let Some(at) = conversation.due() {
+                        due.as_mut().reset(at);
+                    }
+                }
+                () = due.as_mut(), if conversation.due().is_some() => {
+                    if !conversation.rests() && !conversation.fresh() {
+                        return (Why::Done, short);
+                    }
+                    conversation.close();
+                    due.as_mut().reset(Instant::now() + HEARD);
+                }
+                () = look.as_mut(), if looks => {
+                    if !conversation.waits() {
+                        log::debug!("http: a client left in the middle of its body");
+                        return (Why::Done, short);
+                    }
+                    look.as_mut().reset(Instant::now() + LOOK);
                 }
-                told = true;
-                connection.as_mut().graceful_shutdown();
-            };
-            if let Err(problem) = ended {
-                log::debug!("http: connection ended: {problem}");
-            }
-            if watch.speaks_http2() {
-                log::info!("http: HTTP/2 on the port of HTTP/1.1");
-                let told = stream.try_write(&use_http1());
-                log::debug!("http: told so: {told:?}");
             }
-        });
+        }
     }
 }
--- a/src/front/http2.rs
+++ b/src/front/http2.rs
@@ -438,7 +438,7 @@
         let response = tokio::select! {
             biased;
             _ = poll_fn(|cx| respond.poll_reset(cx)) => return Err(StreamError::Reset),
-            response = self.desk.answer(request, BODY_GRACE, doubtful) => response,
+            response = self.desk.answer(request, BODY_GRACE, doubtful, None) => response,
         };
         let (mut head, mut body) = response.into_parts();
         if let Some(length) = body.size_hint().exact() {
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -4,15 +4,18 @@
 //! request with both may hide another in its body. Each head is read here to its end, with hyper's own
 //! parser, before hyper gets it, and what follows a doubtful one never gets there at all.
 
+use crate::core::Client;
+use crate::counters::Counters;
 use bytes::{Buf, BytesMut};
-use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::cell::Cell;
+use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -36,40 +39,69 @@
 const LONGEST_SIZE: usize = 4096;
 /// How long a connection is kept without a request.
 const IDLE: Duration = Duration::from_millis(2100);
+/// What is held of requests that come while one is being answered: a whole head. Clients send one at a time; of who
+/// sends more before its answer, what goes past this is read and dropped, so that its end is seen behind it.
+const MOST_AHEAD: usize = LONGEST_HEAD;
 
-/// What the intake, the service and the task of one connection share: when the connection is to end, unless
-/// something happens before, and what the newest head was like.
-pub struct Watch {
+/// What the intake, the service and the task of one connection share: how far its requests have come, and from that
+/// when it is to end and whether it may.
+#[derive(Debug)]
+pub struct Conversation {
+    stream: Rc<TcpStream>,
+    counters: Rc<Counters>,
     due: Cell<Instant>,
     /// When the newest request began to come.
     begun: Cell<Instant>,
     moved: Notify,
+    /// Nothing has come yet.
+    fresh: Cell<bool>,
+    /// A further request has begun to come.
     coming: Cell<bool>,
+    /// A head was handed on, and its answer is not out yet: nothing after its body is handed on.
+    answering: Cell<bool>,
+    /// The service has it.
     serving: Cell<bool>,
-    /// Of the heads handed on that are not served yet: whether each leaves room for doubt where its request
-    /// ends. The service is called some time after its head was read, when the next may have been.
-    doubts: RefCell<VecDeque<bool>>,
+    /// Its body has not been handed on to its end.
+    body: Cell<bool>,
+    /// Whether its head leaves room for doubt where it ends.
+    doubtful: Cell<bool>,
+    /// Some of an answer may not be with the system yet.
+    unflushed: Cell<bool>,
+    /// The connection is to close as soon as it rests.
+    closing: Cell<bool>,
     /// A client of HTTP/2 came to this port.
     http2: Cell<bool>,
     /// Since when the client has left what is sent to it unread.
     unread: Cell<Option<Instant>>,
 }
 
-impl Default for Watch {
+impl Conversation {
     /// Of a new connection.
-    fn default() -> Watch {
-        let (due, begun) = (Cell::new(Instant::now() + HEAD), Cell::new(Instant::now()));
-        let (coming, serving, doubts) = (Cell::new(true), Cell::new(false), RefCell::default());
-        let (unread, http2) = (Cell::new(None), Cell::new(false));
-        Watch { due, begun, moved: Notify::new(), coming, serving, doubts, http2, unread }
+    pub fn new(stream: Rc<TcpStream>, counters: Rc<Counters>) -> Rc<Conversation> {
+        Rc::new(Conversation {
+            stream,
+            counters,
+            due: Cell::new(Instant::now() + HEAD),
+            begun: Cell::new(Instant::now()),
+            moved: Notify::new(),
+            fresh: Cell::new(true),
+            coming: Cell::new(false),
+            answering: Cell::new(false),
+            serving: Cell::new(false),
+            body: Cell::new(false),
+            doubtful: Cell::new(false),
+            unflushed: Cell::new(false),
+            closing: Cell::new(false),
+            http2: Cell::new(false),
+            unread: Cell::new(None),
+        })
     }
-}
 
-impl Watch {
-    /// When the connection is to end; while a request is served, only for a client that does not read.
+    /// When the connection is to end; while a request is served or its answer goes out, only for a client that does
+    /// not read.
     pub fn due(&self) -> Option<Instant> {
         let unread = self.unread.get().map(|since| since + UNREAD);
-        unread.or(Some(self.due.get()).filter(|_| !self.serving.get()))
+        unread.or(Some(self.due.get()).filter(|_| !self.serving.get() && !self.unflushed.get()))
     }
 
     /// Whether the client speaks HTTP/2, which is served on another port, if at all.
@@ -77,7 +109,7 @@
         self.http2.get()
     }
 
-    /// Waits until that may have changed.
+    /// Waits until any of that may have changed.
     pub async fn moved(&self) {
         self.moved.notified().await;
     }
@@ -87,19 +119,50 @@
         SLOW.saturating_sub(self.begun.get().elapsed()).max(SLOW_BODY)
     }
 
-    /// The next request is served; whether its head leaves room for doubt where it ends.
+    /// The request whose head was handed on is served; whether that leaves room for doubt where it ends.
     pub fn serving(&self) -> bool {
-        let mut doubts = self.doubts.borrow_mut();
-        let doubtful = doubts.pop_front().unwrap_or(true);
         self.serving.set(true);
-        self.coming.set(!doubts.is_empty());
         self.moved.notify_one();
-        doubtful
+        self.doubtful.get()
+    }
+
+    /// Whether nothing has come yet.
+    pub fn fresh(&self) -> bool {
+        self.fresh.get()
+    }
+
+    /// Whether nothing of a request is at hand, and the last answer is with the system.
+    pub fn rests(&self) -> bool {
+        !self.answering.get() && !self.serving.get() && !self.coming.get() && !self.unflushed.get()
+    }
+
+    /// Whether a request is served of whose body more is to be handed on: its client's end may stand behind that.
+    pub fn receives(&self) -> bool {
+        self.serving.get() && self.body.get()
+    }
+
+    /// Has the connection close as soon as it rests.
+    pub fn close(&self) {
+        self.closing.set(true);
+    }
+
+    /// Whether it is to.
+    pub fn closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Whether an answer may say that it is the last: no further request has come, read or not.
+    pub fn last(&self) -> bool {
+        !self.coming.get() && self.quiet()
     }
 
-    /// Whether a further request has begun to come.
-    pub fn more(&self) -> bool {
-        self.coming.get()
+    /// Whether nothing has come that was not read yet, by the system's word: the runtime may not have heard of it.
+    pub fn quiet(&self) -> bool {
+        matches!(self.peek(), Err(problem) if problem.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn peek(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()])
     }
 
     /// Bytes of a body have come; after an early answer, the connection is kept for the rest.
@@ -118,21 +181,67 @@
         }
     }
 
+    /// All that was written is with the system.
+    fn flushed(&self) {
+        if !self.unflushed.replace(false) {
+            return;
+        }
+        if !self.coming.get() {
+            self.due.set(Instant::now() + IDLE);
+        }
+        if self.closing.get() {
+            self.moved.notify_one();
+        }
+    }
+
     /// The request is answered; the connection is kept for another.
     pub fn answered(&self) {
         self.serving.set(false);
+        self.answering.set(false);
+        self.unflushed.set(true);
+        self.begun.set(Instant::now());
         self.due.set(Instant::now() + if self.coming.get() { HEAD } else { IDLE });
         self.moved.notify_one();
     }
 
-    /// Bytes of a head have come: the rest is due, too.
+    /// Bytes of a head have come: the rest is due, too. Of a new connection's first one it was before.
     fn coming(&self) {
-        if !self.coming.replace(true) {
+        let fresh = self.fresh.replace(false);
+        if !self.coming.replace(true) && !fresh {
             self.begun.set(Instant::now());
             self.due.set(Instant::now() + HEAD);
             self.moved.notify_one();
         }
     }
+
+    /// A head goes on.
+    fn handed_on(&self, doubtful: bool, body: bool) {
+        self.coming.set(false);
+        self.answering.set(true);
+        self.doubtful.set(doubtful);
+        self.body.set(body);
+    }
+}
+
+impl Client for Conversation {
+    fn waits(&self) -> bool {
+        match self.peek() {
+            // What is unread may have its end behind it.
+            Ok(1..) => !half_closed(&self.stream),
+            Ok(0) => false,
+            Err(problem) => problem.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// Whether the other side has ended its sending, by what the runtime has heard.
+fn half_closed(stream: &TcpStream) -> bool {
+    let ready = std::pin::pin!(stream.ready(Interest::READABLE));
+    match ready.poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+        Poll::Ready(Err(_)) => true,
+        Poll::Pending => false,
+    }
 }
 
 /// What comes next on the connection.
@@ -148,32 +257,26 @@
     Nothing,
 }
 
-/// Whether nothing has come on a connection that was not read yet, by the system's word: the runtime may not
-/// have heard of it.
-pub fn quiet(stream: &TcpStream) -> bool {
-    let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
-    peeked.is_err_and(|problem| problem.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// A client's connection.
 pub struct Intake {
-    stream: Rc<TcpStream>,
-    watch: Rc<Watch>,
+    conversation: Rc<Conversation>,
     held: BytesMut,
     /// How many of the held bytes may be handed on.
     passed: usize,
     next: Next,
+    /// More came ahead of its turn than is held.
+    flooded: bool,
 }
 
 impl Intake {
     /// A connection from which nothing was read yet.
-    pub fn new(stream: Rc<TcpStream>, watch: Rc<Watch>) -> Intake {
-        Intake { stream, watch, held: BytesMut::new(), passed: 0, next: Next::Head }
+    pub fn new(conversation: Rc<Conversation>) -> Intake {
+        Intake { conversation, held: BytesMut::new(), passed: 0, next: Next::Head, flooded: false }
     }
 
     /// Hands on what is held of a body of which so much is left; what is left then.
     fn pass(&mut self, left: u64) -> u64 {
-        self.watch.body();
+        self.conversation.body();
         self.passed = self.held.len().min(usize::try_from(left).unwrap_or(usize::MAX));
         left - self.passed as u64
     }
@@ -202,7 +305,7 @@
             Ok(httparse::Status::Partial) if self.held.len() < LONGEST_HEAD => return,
             // hyper answers what can't be read, and ends the connection.
             Ok(httparse::Status::Partial) | Err(_) => {
-                self.watch.http2.set(self.held.starts_with(b"PRI * HTTP/2"));
+                self.conversation.http2.set(self.held.starts_with(b"PRI * HTTP/2"));
                 (self.passed, self.next) = (self.held.len(), Next::Nothing);
                 return;
             }
@@ -219,12 +322,82 @@
             (0, 1, _) if coding.is_some_and(|c| c.eq_ignore_ascii_case(b"chunked")) => Next::Size,
             _ => Next::Nothing,
         };
-        self.watch.doubts.borrow_mut().push_back(matches!(self.next, Next::Nothing));
+        let (doubtful, body) = (matches!(self.next, Next::Nothing), !matches!(self.next, Next::Head));
+        self.conversation.handed_on(doubtful, body);
         self.passed = end;
     }
 }
 
+impl Intake {
+    /// Takes in what came. What belongs to no request that will be served is dropped.
+    fn keep(&mut self, piece: &[u8]) {
+        if matches!(self.next, Next::Nothing) {
+            return;
+        }
+        if self.ahead() {
+            self.flooded |= self.held.len() + piece.len() > MOST_AHEAD;
+            if self.flooded {
+                return;
+            }
+            self.conversation.coming();
+        }
+        self.held.extend_from_slice(piece);
+    }
+
+    /// Whether what comes next is ahead of its turn: the request before it is not answered yet.
+    fn ahead(&self) -> bool {
+        self.conversation.answering.get() && matches!(self.next, Next::Head)
+    }
+
+    /// Decides how much of what is held may be handed on.
+    fn portion(&mut self) {
+        match self.next {
+            Next::Head => {
+                self.conversation.coming();
+                self.examine();
+            }
+            Next::Body(left) => match self.pass(left) {
+                0 => self.ended(),
+                left => self.next = Next::Body(left),
+            },
+            Next::Chunk(left) => match self.pass(left) {
+                0 => self.next = Next::Size,
+                left => self.next = Next::Chunk(left),
+            },
+            Next::Size => {
+                let size = httparse::parse_chunk_size(&self.held);
+                self.line(size.map_err(|_| ()), LONGEST_SIZE, |size| match size {
+                    0 => Next::Trailer,
+                    // The data are followed by a line's end.
+                    size => Next::Chunk(size.saturating_add(2)),
+                });
+            }
+            Next::Trailer => {
+                let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+                let end = match httparse::parse_headers(&self.held, &mut fields) {
+                    Ok(httparse::Status::Complete((end, _))) => Ok(httparse::Status::Complete((end, 0))),
+                    Ok(httparse::Status::Partial) => Ok(httparse::Status::Partial),
+                    Err(_) => Err(()),
+                };
+                self.line(end, LONGEST_HEAD, |_| Next::Head);
+                if matches!(self.next, Next::Head) {
+                    self.ended();
+                }
+            }
+            Next::Nothing => self.held.clear(),
+        }
+    }
+
+    /// The request's last byte goes on.
+    fn ended(&mut self) {
+        self.next = Next::Head;
+        self.conversation.body.set(false);
+    }
+}
+
 impl AsyncRead for Intake {
+    /// Hands on one request at a time: what comes after it waits here until it is answered, so that reading never
+    /// stops and the client's end is seen at once, whatever it sent before.
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -232,42 +405,8 @@
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
         loop {
-            if this.passed == 0 && !this.held.is_empty() {
-                match this.next {
-                    Next::Head => {
-                        this.watch.coming();
-                        this.examine();
-                    }
-                    Next::Body(left) => match this.pass(left) {
-                        0 => this.next = Next::Head,
-                        left => this.next = Next::Body(left),
-                    },
-                    Next::Chunk(left) => match this.pass(left) {
-                        0 => this.next = Next::Size,
-                        left => this.next = Next::Chunk(left),
-                    },
-                    Next::Size => {
-                        let size = httparse::parse_chunk_size(&this.held);
-                        this.line(size.map_err(|_| ()), LONGEST_SIZE, |size| match size {
-                            0 => Next::Trailer,
-                            // The data are followed by a line's end.
-                            size => Next::Chunk(size.saturating_add(2)),
-                        });
-                    }
-                    Next::Trailer => {
-                        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
-                        let end = httparse::parse_headers(&this.held, &mut fields);
-                        let end = match end {
-                            Ok(httparse::Status::Complete((end, _))) => {
-                                Ok(httparse::Status::Complete((end, 0)))
-                            }
-                            Ok(httparse::Status::Partial) => Ok(httparse::Status::Partial),
-                            Err(_) => Err(()),
-                        };
-                        this.line(end, LONGEST_HEAD, |_| Next::Head);
-                    }
-                    Next::Nothing => this.held.clear(),
-                }
+            if this.passed == 0 && !this.held.is_empty() && !this.ahead() {
+                this.portion();
             }
             if this.passed > 0 {
                 let some = this.passed.min(buf.remaining());
@@ -276,15 +415,18 @@
                 this.passed -= some;
                 return Poll::Ready(Ok(()));
             }
-            if matches!(this.next, Next::Nothing) {
-                // The answer still goes out, and ends the connection; if there is none, its time does.
-                return Poll::Pending;
+            if this.flooded && !this.ahead() {
+                // What was held of it is served; the rest is gone, and so is the way to tell where it begins.
+                this.conversation.counters.floods.add();
+                log::info!("http: a client sent more ahead of its answers than is held; its connection ends");
+                return Poll::Ready(Ok(()));
             }
             let mut piece = [0; PIECE];
-            ready!(this.stream.poll_read_ready(cx))?;
-            match this.stream.try_read(&mut piece) {
+            let conversation = this.conversation.clone();
+            ready!(conversation.stream.poll_read_ready(cx))?;
+            match conversation.stream.try_read(&mut piece) {
                 Ok(0) => return Poll::Ready(Ok(())),
-                Ok(some) => this.held.extend_from_slice(&piece[..some]),
+                Ok(some) => this.keep(&piece[..some]),
                 Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => {}
                 Err(problem) => return Poll::Ready(Err(problem)),
             }
@@ -299,10 +441,11 @@
         send: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            let ready = self.stream.poll_write_ready(cx);
-            self.watch.room(ready.is_ready());
+            let stream = &self.conversation.stream;
+            let ready = stream.poll_write_ready(cx);
+            self.conversation.room(ready.is_ready());
             ready!(ready)?;
-            match send(&self.stream) {
+            match send(stream) {
                 Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => {}
                 sent => return Poll::Ready(sent),
             }
@@ -327,11 +470,13 @@
         true
     }
 
+    /// hyper asks for it once all that it had is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.conversation.flushed();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(socket2::SockRef::from(&*self.conversation.stream).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The fronts: each takes requests out of one protocol, has the core serve them and words the answers.
 
 pub mod block;
+pub mod closing;
 pub mod http;
 pub mod http2;
 pub mod intake;
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -4,7 +4,7 @@
 use crate::api::*;
 use crate::config::WireNotes;
 use crate::content::{Broken, Chain, Content, Payload, Pieces, Upload};
-use crate::core::{Answer, Call, Dispatcher, Envelope, Transport, Verb, seconds};
+use crate::core::{Answer, Call, Client, Dispatcher, Envelope, Transport, Verb, seconds};
 use crate::counters::{Counters, Final, Flight};
 use crate::descriptors::Budget;
 use crate::memory::{BodyError, LONGEST, Memory};
@@ -325,8 +325,15 @@
 }
 
 impl<T: Transport + 'static> Desk<T> {
-    /// Answers a request. `grace` is the time that its body has, pace apart; `doubtful` is set where its length is.
-    pub async fn answer<B>(&self, request: Request<B>, grace: Duration, doubtful: bool) -> Response<Outgoing>
+    /// Answers a request. `grace` is the time that its body has, pace apart; `doubtful` is set where its length is;
+    /// `client` is who waits, where that can be asked at any moment.
+    pub async fn answer<B>(
+        &self,
+        request: Request<B>,
+        grace: Duration,
+        doubtful: bool,
+        client: Option<Rc<dyn Client>>,
+    ) -> Response<Outgoing>
     where
         B: Body<Data = Bytes> + Unpin + 'static,
     {
@@ -350,7 +357,7 @@
         };
         let flight = self.counters.flight(fields.class);
         // Its room is free again once the body has come.
-        let call = Box::pin(self.call(request, fields, grace)).await;
+        let call = Box::pin(self.call(request, fields, grace, client)).await;
         // A second request with an id would be a second copy at the node.
         match call.and_then(|call| {
             let fresh = self.dispatcher.claim(&call.envelope.id);
@@ -380,7 +387,13 @@
     }
 
     /// The call that a request makes.
-    async fn call<B>(&self, request: Request<B>, fields: Fields, grace: Duration) -> Result<Call, BadRequest>
+    async fn call<B>(
+        &self,
+        request: Request<B>,
+        fields: Fields,
+        grace: Duration,
+        client: Option<Rc<dyn Client>>,
+    ) -> Result<Call, BadRequest>
     where
         B: Body<Data = Bytes> + Unpin + 'static,
     {
@@ -419,6 +432,7 @@
             hosts: fields.hosts,
             repeat: fields.repeat,
             deadline,
+            client,
             envelope: Rc::new(Envelope { verb: fields.verb, target, id, repeat_key, payload }),
         })
     }
