--- /dev/null
+++ b/tests/moments_core.rs
@@ -0,0 +1,410 @@
+//! Requests, answers, drains, leaving clients and the head's end in any order, in virtual time: the core and the module
+//! as they are, round stand-ins for clients and nodes that act by seeds. A checker that knows nothing of either keeps
+//! the protocol's rules, and is shown to find each of three broken ways to the nodes.
+
+mod peers;
+
+use bytes::Bytes;
+use flaxgap::api::*;
+use flaxgap::config;
+use flaxgap::content::Payload;
+use flaxgap::core::{
+    Answer, Call, Client, Clock, Dispatcher, Envelope, Permit, Reply, Transport, Verb, Written,
+};
+use flaxgap::counters::{Counters, Final};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// What the protocol adds to each of its times on sockets.
+const SLACK: Duration = Duration::from_millis(50);
+const GRACE: Duration = Duration::from_millis(250);
+
+/// A way to the nodes, as it should be or broken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    Sound,
+    /// It writes whatever the permit says.
+    HeedsNoPermit,
+    /// It writes to nodes that drain.
+    HeedsNoDrain,
+    /// What is called off goes on, unseen.
+    OutlivesItsEnd,
+}
+
+/// Numbers by chance (xorshift).
+struct Draws(Cell<u64>);
+
+impl Draws {
+    fn new(seed: u64) -> Draws {
+        Draws(Cell::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1))
+    }
+
+    fn below(&self, most: u64) -> u64 {
+        let mut state = self.0.get();
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        self.0.set(state);
+        (state >> 11) % most
+    }
+
+    fn millis(&self, most: u64) -> Duration {
+        Duration::from_micros(self.below(most * 1000))
+    }
+}
+
+/// What is known of one request from outside.
+#[derive(Default)]
+struct Record {
+    repeat: Option<Repeat>,
+    deadline: Option<Instant>,
+    left: Option<Instant>,
+    out: u32,
+    /// When the first attempt began that may have run, and at which node.
+    ran: Option<(Instant, NodeId)>,
+    answered: Option<(Instant, &'static str)>,
+}
+
+/// Keeps the rules.
+#[derive(Default)]
+struct Checker {
+    records: RefCell<HashMap<Bytes, Record>>,
+    draining: RefCell<HashMap<NodeId, Instant>>,
+    end: Cell<Option<Instant>>,
+    broken: RefCell<Vec<String>>,
+    first_bytes: Cell<u32>,
+    further: Cell<u32>,
+}
+
+impl Checker {
+    fn rule(&self, holds: bool, what: &str) {
+        if !holds {
+            self.broken.borrow_mut().push(what.into());
+        }
+    }
+
+    /// An attempt's first byte is written.
+    fn first_byte(&self, id: &Bytes, node: NodeId, now: Instant) {
+        self.first_bytes.set(self.first_bytes.get() + 1);
+        let (mut records, past) =
+            (self.records.borrow_mut(), |at: Option<Instant>| at.is_some_and(|at| now > at));
+        let Some(record) = records.get_mut(id) else {
+            return self.rule(false, "a request that no client sent");
+        };
+        self.rule(record.out == 0, "two attempts of a request are out");
+        self.rule(!past(record.left), "sent on after its client left");
+        self.rule(!past(self.end.get()), "sent on past the head's last moment");
+        self.rule(!past(record.deadline), "sent on past its deadline");
+        self.rule(record.answered.is_none(), "sent on after its answer");
+        let told = self.draining.borrow().get(&node).map(|at| *at + GRACE + SLACK);
+        self.rule(!past(told), "sent to a node that drains");
+        if let Some((at, ran_at)) = record.ran {
+            self.further.set(self.further.get() + 1);
+            match record.repeat {
+                Some(Repeat::Unsafe) => self.rule(false, "an unsafe request is sent again"),
+                Some(Repeat::Keyed { group, window }) => {
+                    let window = Duration::from_secs_f64(window) + SLACK;
+                    self.rule(now <= at + window, "sent again past its window");
+                    self.rule(group == RepeatGroup::All || ran_at == node, "sent again outside its group");
+                }
+                _ => {}
+            }
+        }
+        record.out += 1;
+    }
+
+    /// An attempt is over; whether it may have run.
+    fn over(&self, id: &Bytes, node: NodeId, began: Instant, may_have_run: bool) {
+        if let Some(record) = self.records.borrow_mut().get_mut(id) {
+            record.out -= 1;
+            if may_have_run {
+                record.ran.get_or_insert((began, node));
+            }
+        }
+    }
+
+    fn answered(&self, id: &Bytes, word: &'static str, now: Instant) {
+        let mut records = self.records.borrow_mut();
+        let Some(record) = records.get_mut(id) else { return };
+        self.rule(record.answered.replace((now, word)).is_none(), "a second final answer");
+        self.rule(record.out == 0, "answered with an attempt still out");
+        let free =
+            matches!(record.repeat, Some(Repeat::Safe | Repeat::Keyed { group: RepeatGroup::All, .. }));
+        self.rule(word != "refused" || free || record.ran.is_none(), "refused what may have run");
+    }
+
+    /// When all is over.
+    fn at_the_end(&self) {
+        for record in self.records.borrow().values() {
+            let due = record.deadline.expect("a deadline").min(self.end.get().expect("an end")) + SLACK;
+            match (record.answered, record.left) {
+                (Some((at, _)), _) => self.rule(at <= due, "answered too late"),
+                (None, left) => self.rule(left.is_some(), "never answered"),
+            }
+            self.rule(record.out == 0, "an attempt outlives the head");
+        }
+    }
+}
+
+/// Where nodes are to be reached.
+struct Wire {
+    way: Way,
+    draws: Draws,
+    checker: Rc<Checker>,
+}
+
+/// An attempt whose first byte was written, until it is over on the wire.
+struct Out {
+    checker: Rc<Checker>,
+    id: Bytes,
+    node: NodeId,
+    began: Instant,
+    permit: Rc<Permit>,
+    outlives: Option<Duration>,
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        let (checker, id, node, began) = (self.checker.clone(), self.id.clone(), self.node, self.began);
+        let ran = self.permit.written.get() == Written::All;
+        match self.outlives {
+            Some(time) => {
+                spawn_local(async move {
+                    sleep(time).await;
+                    checker.over(&id, node, began, ran);
+                });
+            }
+            None => checker.over(&id, node, began, ran),
+        }
+    }
+}
+
+impl Transport for Wire {
+    async fn send(&self, node: NodeId, envelope: &Envelope, permit: &Rc<Permit>) -> Reply {
+        let (draws, began) = (&self.draws, Instant::now());
+        let connect = match draws.below(4) {
+            0 => draws.millis(1500),
+            _ => draws.millis(3),
+        };
+        let by = if self.way == Way::HeedsNoPermit { permit.until } else { permit.begin_by() };
+        if began + connect > by {
+            sleep_until(by).await;
+            return Reply::empty(Outcome::ConnectFailed);
+        }
+        sleep(connect).await;
+        let drains = self.checker.draining.borrow().contains_key(&node);
+        let late = permit.late(Instant::now()).is_some() && self.way != Way::HeedsNoPermit;
+        if late || drains && self.way != Way::HeedsNoDrain {
+            return Reply::empty(Outcome::Moot);
+        }
+        self.checker.first_byte(&envelope.id, node, Instant::now());
+        let outlives = (self.way == Way::OutlivesItsEnd).then(|| draws.millis(300));
+        let (checker, id, permit) = (self.checker.clone(), envelope.id.clone(), permit.clone());
+        let out = Out { checker, id, node, began, permit: permit.clone(), outlives };
+        permit.written.set(Written::Part);
+        if draws.below(12) == 0 {
+            return Reply::empty(Outcome::ConnectFailed);
+        }
+        sleep(draws.millis(4)).await;
+        permit.written.set(Written::All);
+        let outcome = match draws.below(10) {
+            0 => Outcome::Error,
+            1 => Outcome::Reset,
+            2 => {
+                // Turned away unseen.
+                permit.written.set(Written::Part);
+                Outcome::Full
+            }
+            3 => {
+                sleep_until(permit.until).await;
+                return Reply::empty(Outcome::Timeout);
+            }
+            4..=6 => Outcome::Ok,
+            _ => {
+                sleep(draws.millis(900)).await;
+                Outcome::Ok
+            }
+        };
+        sleep(draws.millis(40)).await;
+        drop(out);
+        Reply::empty(outcome)
+    }
+}
+
+/// A client that may leave.
+#[derive(Debug)]
+struct Waits(Rc<Cell<bool>>);
+
+impl Client for Waits {
+    fn waits(&self) -> bool {
+        self.0.get()
+    }
+}
+
+fn settings() -> Settings {
+    let class =
+        |deadline, repeat| Class { aim: 0.2, deadline, worth: 1.0, late_worth: 0.2, repeat, in_order: false };
+    let (read, _) = config::read(peers::SETTINGS.as_bytes()).expect("settings");
+    let classes = vec![
+        class(1.0, Repeat::Safe),
+        class(2.0, Repeat::Keyed { group: RepeatGroup::Shard, window: 0.4 }),
+        class(2.0, Repeat::Keyed { group: RepeatGroup::All, window: 0.7 }),
+        class(1.5, Repeat::Unsafe),
+    ];
+    Settings { classes, plans: vec![], ..read }
+}
+
+/// One day of two nodes and some clients, by a seed; the checker that watched it.
+fn day(way: Way, seed: u64) -> Rc<Checker> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let (draws, checker, settings) = (Draws::new(seed), Rc::new(Checker::default()), settings());
+        let counters = Counters::new(&["a".into(), "b".into(), "c".into(), "d".into()]);
+        let dispatcher =
+            Dispatcher::new(settings.clone(), seed, Clock::start(), counters.clone()).expect("served");
+        let keeper = dispatcher.clone();
+        spawn_local(async move { keeper.keep_time().await });
+        let wire = Rc::new(Wire { way, draws: Draws::new(seed ^ 0x55), checker: checker.clone() });
+        let node = |number: u64, state| NodeInfo {
+            node: NodeId(number),
+            shard: ShardId(number as u32 % 2),
+            since: 0.0,
+            zone: ZoneId(0),
+            state,
+        };
+        let ready = [1, 2].map(|number| node(number, NodeState::Ready)).to_vec();
+        dispatcher.tell(&[Event::Nodes { kind: ListKind::Whole, nodes: ready }]);
+        let began = Instant::now();
+        let end = began + Duration::from_millis(1500) + draws.millis(2500);
+        let mut tasks = Vec::new();
+        for number in 0..8 + draws.below(12) {
+            // What comes later finds no head.
+            let (at, class) = ((began + draws.millis(3000)).min(end), draws.below(4) as usize);
+            let wait = Duration::from_secs_f64(settings.classes[class].deadline)
+                .mul_f64(0.2 + 0.8 * draws.below(100) as f64 / 100.0);
+            let leaves = (draws.below(3) == 0).then(|| draws.millis(1200));
+            // What a front takes to notice.
+            let notices = draws.millis(250);
+            let id = Bytes::from(format!("{number:016x}"));
+            let (repeat, shard) = (settings.classes[class].repeat, draws.below(2) as u32);
+            let (dispatcher, wire, checker, counters) =
+                (dispatcher.clone(), wire.clone(), checker.clone(), counters.clone());
+            tasks.push(spawn_local(async move {
+                sleep_until(at).await;
+                if at >= end {
+                    return;
+                }
+                let (deadline, left) = (at + wait, leaves.map(|after| at + after));
+                let record = Record { repeat: Some(repeat), deadline: Some(deadline), ..Record::default() };
+                checker.records.borrow_mut().insert(id.clone(), record);
+                let waits = Rc::new(Cell::new(true));
+                let envelope = Envelope {
+                    verb: Verb::Write,
+                    target: "/a/1/2".into(),
+                    id: id.clone(),
+                    repeat_key: None,
+                    payload: Payload::Whole(Bytes::new()),
+                };
+                let call = Call {
+                    class: ClassId(class),
+                    plan: PlanId(0),
+                    volume: VolumeId(1),
+                    extent: None,
+                    shard: Some(ShardId(shard)),
+                    units: 1.0,
+                    hosts: 1,
+                    repeat: false,
+                    deadline,
+                    client: Some(Rc::new(Waits(waits.clone()))),
+                    envelope: Rc::new(envelope),
+                };
+                let gone = async {
+                    let Some(left) = left else { return std::future::pending().await };
+                    sleep_until(left).await;
+                    waits.set(false);
+                    if let Some(record) = checker.records.borrow_mut().get_mut(&id) {
+                        record.left = Some(left);
+                    }
+                    sleep(notices).await;
+                };
+                let flight = counters.flight(ClassId(class));
+                let answer = tokio::select! {
+                    biased;
+                    () = gone => None,
+                    answer = dispatcher.serve(&*wire, call, flight) => Some(answer),
+                };
+                let word = match answer {
+                    None => return,
+                    Some(Answer::Served(_, flight)) => {
+                        flight.settle(Final::Served);
+                        "served"
+                    }
+                    Some(Answer::Refused { .. }) => "refused",
+                    Some(Answer::Failed) => "failed",
+                };
+                checker.answered(&id, word, Instant::now());
+            }));
+        }
+        for number in [1, 2] {
+            let (at, drains) = (began + draws.millis(4000), draws.below(2) == 0);
+            let (dispatcher, checker) = (dispatcher.clone(), checker.clone());
+            spawn_local(async move {
+                sleep_until(at).await;
+                if drains {
+                    checker.draining.borrow_mut().insert(NodeId(number), at);
+                    let nodes = vec![node(number, NodeState::Draining)];
+                    dispatcher.tell(&[Event::Nodes { kind: ListKind::Changes, nodes }]);
+                }
+            });
+        }
+        // Told some time before, as by SIGTERM.
+        sleep_until(end - draws.millis(1000)).await;
+        checker.end.set(Some(end));
+        dispatcher.finish_by(end);
+        sleep_until(end + Duration::from_secs(1)).await;
+        for task in tasks {
+            checker.rule(task.is_finished(), "a request outlives the head");
+        }
+        checker.at_the_end();
+        let in_flight = counters.pairs().into_iter().find(|(name, _)| *name == "in_flight");
+        checker.rule(in_flight == Some(("in_flight", 0)), "something is still counted as in flight");
+        checker
+    })
+}
+
+const SEEDS: u64 = 5000;
+
+#[test]
+fn the_rules_hold_in_every_order_of_requests_answers_drains_leaving_and_the_end() {
+    let (mut sent, mut further) = (0, 0);
+    for seed in 1..=SEEDS {
+        let checker = day(Way::Sound, seed);
+        assert!(checker.broken.borrow().is_empty(), "seed {seed}: {:?}", checker.broken.borrow());
+        sent += checker.first_bytes.get();
+        further += checker.further.get();
+    }
+    assert!(sent > 10 * SEEDS as u32 / 2 && further > SEEDS as u32 / 4, "{sent} sent, {further} again");
+}
+
+#[test]
+fn the_checker_finds_a_way_to_the_nodes_that_is_broken() {
+    let found = |way, words: &[&str]| {
+        let all: Vec<String> =
+            (1..=SEEDS / 10).flat_map(|seed| day(way, seed).broken.borrow().clone()).collect();
+        for word in words {
+            assert!(all.iter().any(|what| what == word), "{way:?}: not once {word:?}");
+        }
+    };
+    let late = [
+        "sent on after its client left",
+        "sent on past the head's last moment",
+        "sent again past its window",
+    ];
+    found(Way::HeedsNoPermit, &late);
+    found(Way::HeedsNoDrain, &["sent to a node that drains"]);
+    found(Way::OutlivesItsEnd, &["two attempts of a request are out", "answered with an attempt still out"]);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -412,6 +412,17 @@
 
     /// The same with a configuration's text.
     pub fn start_text(text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
+        let head = Head::launch(text, block, extra);
+        wait(|| (get(head.http, "/-/ready").status() == 200).then_some(()));
+        head
+    }
+
+    /// The same for one that need not become ready.
+    pub fn start_unready(text: &str) -> Head {
+        Head::launch(text, None, &[])
+    }
+
+    fn launch(text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
         let number = HEADS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -436,7 +447,6 @@
         head.ops = head.address("ops: listening on ");
         head.http = head.address("http: listening on ");
         head.block = block.map(|_| head.address("block: listening on "));
-        wait(|| (get(head.http, "/-/ready").status() == 200).then_some(()));
         head
     }
 
