--- a/crates/lab/benches/watch.rs
+++ b/crates/lab/benches/monitor.rs
@@ -1,10 +1,10 @@
-//! What levels cost a head: the watch and its looks at 2,000 requests a second. One iteration is one second of such
+//! What levels cost a head: the monitor and its looks at 2,000 requests a second. One iteration is one second of such
 //! load, so that its time is the part of a core that levels take.
 #![allow(missing_docs)] // of what the macros make
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use flaxgap::api::*;
-use flaxgap::watch::{Gauges, Watch};
+use flaxgap::monitor::{Gauges, Monitor};
 use flaxgap_lab::fleet::{Fleet, Size};
 use flaxgap_levels::{Governor, Settings as Levels};
 use std::collections::BTreeMap;
@@ -16,7 +16,7 @@
 /// Requests in hand at a time: a tenth of a second's.
 const HELD: u32 = RATE / 10;
 
-fn second(watch: &mut Watch, kept: &mut BTreeMap<(Option<ZoneId>, ClassId), Kept>, base: u32, now: f64) {
+fn second(monitor: &mut Monitor, kept: &mut BTreeMap<(Option<ZoneId>, ClassId), Kept>, base: u32, now: f64) {
     let each = RATE / CALLS;
     for call in 0..CALLS {
         let at = now + f64::from(call) / f64::from(CALLS);
@@ -49,13 +49,13 @@
         let events: Vec<Event> = ids.clone().map(|id| Event::Request(ask(id))).chain(old).collect();
         let send =
             |id| Action::Send { request: RequestId(id), node: NodeId(u64::from(id % 30)), abandon_at: at };
-        watch.heed(at, &events, &ids.map(send).collect::<Vec<_>>());
+        monitor.heed(at, &events, &ids.map(send).collect::<Vec<_>>());
         for class in 0..2 {
             let kept = kept.entry((Some(ZoneId((call % 3) as u16)), ClassId(class))).or_default();
             (kept.met, kept.all, kept.delay) = (kept.met + 2, kept.all + 2, kept.delay + 0.2);
         }
         if call % (CALLS / 4) == 0 {
-            black_box(watch.look(at, kept, Gauges { memory: 0.1, descriptors: 0.2, module: at / 50.0 }));
+            black_box(monitor.look(at, kept, Gauges { memory: 0.1, descriptors: 0.2, module: at / 50.0 }));
         }
     }
 }
@@ -63,7 +63,7 @@
 fn cost(c: &mut Criterion) {
     let fleet = Fleet::draw(Size { heads: 5, nodes: 30, ..Size::default() }, 1);
     let Ok(levels) = Levels::usual(&fleet.names, &[false, true]) else { return };
-    let mut watch = Watch::new(Governor::new(levels, 0.0), &fleet.settings, 0.0);
+    let mut monitor = Monitor::new(Governor::new(levels, 0.0), &fleet.settings, 0.0);
     let nodes = (0..30).map(|node| NodeInfo {
         node: NodeId(node),
         shard: ShardId(node as u32),
@@ -71,11 +71,11 @@
         zone: ZoneId((node % 3) as u16),
         state: NodeState::Ready,
     });
-    watch.heed(0.0, &[Event::Nodes { kind: ListKind::Whole, nodes: nodes.collect() }], &[]);
+    monitor.heed(0.0, &[Event::Nodes { kind: ListKind::Whole, nodes: nodes.collect() }], &[]);
     let (mut kept, mut base, mut now) = (BTreeMap::new(), 0, 0.0);
-    c.bench_function("one second of 2,000 requests watched", |b| {
+    c.bench_function("one second of 2,000 requests monitored", |b| {
         b.iter(|| {
-            second(&mut watch, &mut kept, base, now);
+            second(&mut monitor, &mut kept, base, now);
             (base, now) = (base + RATE, now + 1.0);
         });
     });
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -7,7 +7,7 @@
 use crate::node::{Ends, Node, Token};
 use flaxgap::Scheduler;
 use flaxgap::api::*;
-use flaxgap::watch::{Gauges, Watch};
+use flaxgap::monitor::{Gauges, Monitor};
 use flaxgap_levels::report::Change;
 use flaxgap_levels::{Governor, Settings as Levels};
 use rand::{Rng, SeedableRng};
@@ -169,7 +169,7 @@
 struct Head {
     zone: u16,
     scheduler: Scheduler,
-    watch: Option<Watch>,
+    monitor: Option<Monitor>,
     pending: Vec<Event>,
     planned: bool,
     next_call: f64,
@@ -231,7 +231,7 @@
             heads.push(Head {
                 zone: *zone,
                 scheduler,
-                watch: governor.map(|governor| Watch::new(governor, &fleet.settings, EPOCH)),
+                monitor: governor.map(|governor| Monitor::new(governor, &fleet.settings, EPOCH)),
                 pending: Vec::new(),
                 planned: false,
                 next_call: 0.0,
@@ -272,7 +272,7 @@
         let list: Vec<NodeInfo> = (0..self.nodes.len()).map(|node| self.info(node)).collect();
         for head in 0..self.heads.len() {
             self.tell(head, Event::Nodes { kind: ListKind::Whole, nodes: list.clone() });
-            if self.heads[head].watch.is_some() {
+            if self.heads[head].monitor.is_some() {
                 self.agenda.plan(0.1 + 0.03 * head as f64, Due::Look { head });
             }
         }
@@ -481,8 +481,8 @@
         (head.planned, head.next_call) = (false, now + tick);
         let events = std::mem::take(&mut head.pending);
         head.scheduler.handle(now + EPOCH, &events, &mut actions);
-        if let Some(watch) = &mut head.watch {
-            watch.heed(now + EPOCH, &events, &actions);
+        if let Some(monitor) = &mut head.monitor {
+            monitor.heed(now + EPOCH, &events, &actions);
         }
         let withheld = head.scheduler.withheld();
         let more = withheld - std::mem::replace(&mut head.withheld, withheld);
@@ -624,10 +624,10 @@
         let most = self.day.fleet.settings.most_held as f64;
         let head = &mut self.heads[number];
         let descriptors = head.open.len() as f64 / most;
-        let Some(watch) = &mut head.watch else { return };
+        let Some(monitor) = &mut head.monitor else { return };
         let gauges = Gauges { memory: 0.0, descriptors, module: 0.0 };
-        let looked = watch.look(now + EPOCH, head.scheduler.kept(), gauges);
-        let next = (watch.governor().next_look() - EPOCH).max(now + 0.001);
+        let looked = monitor.look(now + EPOCH, head.scheduler.kept(), gauges);
+        let next = (monitor.governor().next_look() - EPOCH).max(now + 0.001);
         self.played.changes[number].extend(looked.changes.into_iter().map(|mut change| {
             change.at -= EPOCH;
             change
--- /dev/null
+++ b/crates/levels/src/settings/tests.rs
@@ -0,0 +1,74 @@
+//! Tests of this module's private parts.
+
+use super::*;
+
+pub(crate) fn names() -> Names {
+    let of = |all: &[&str]| all.iter().map(|name| name.to_string()).collect();
+    Names {
+        classes: of(&["play-fetch", "episode-save"]),
+        plans: of(&["community", "network"]),
+        halls: of(&["north", "south", "east"]),
+    }
+}
+
+fn parse(text: &str) -> Result<Settings, SettingsError> {
+    Settings::parse(text, &names(), &[false, true])
+}
+
+#[test]
+fn an_empty_table_is_the_usual_ladder() {
+    let settings = parse("").expect("usual");
+    let rungs: Vec<&str> = settings.head.rungs.iter().map(|rung| rung.name.as_str()).collect();
+    assert_eq!(rungs, ["trim", "saves-limited", "reserve-only"]);
+    assert_eq!(settings.head.rungs[1].passes.of(0, 1), Pass::Share);
+    assert_eq!(settings.head.rungs[1].passes.of(1, 0), Pass::Reserve);
+    assert_eq!(settings.hall.rungs[1].passes.of(0, 0), Pass::Nothing);
+    assert_eq!(Settings::usual(&names(), &[false, true]), Ok(settings));
+}
+
+/// Guards against settings that contradict themselves: each is turned down with its line and key.
+#[test]
+fn contradictions_are_told_with_line_and_key() {
+    let level = |lets: &str, enter: &str, leave: &str| {
+        format!(
+            "[[head.level]]\nname = \"a\"\nlets = [{lets}]\nenter = {{ {enter} }}\nleave = {{ {leave} }}\n"
+        )
+    };
+    let reserve = "{ pass = \"reserve\" }";
+    let cases = [
+        (level(reserve, "held = 0.5", "held = 0.6"), 5, "levels.head.level[0].leave.held", "gap"),
+        (level(reserve, "held = 0.5", "held = 0.5"), 5, "levels.head.level[0].leave.held", "gap"),
+        (level(reserve, "aims = 0.9", "aims = 0.8"), 5, "levels.head.level[0].leave.aims", "gap"),
+        (level(reserve, "aims = 0.9", "held = 0.8"), 1, "levels.head.level[0].leave.aims", "needs"),
+        (level(reserve, "\"aims.gold\" = 0.9", "held = 0.8"), 4, "levels.head.level[0].enter", "class"),
+        (level(reserve, "", "held = 0.8"), 1, "levels.head.level[0].enter", "can't be entered"),
+        (level(reserve, "held = 0.5", ""), 1, "levels.head.level[0].leave", "way out"),
+        (level("", "held = 0.5", "held = 0.2"), 1, "levels.head.level[0].lets", "nothing back"),
+        (level(reserve, "memory = 1.5", "memory = 0.2"), 4, "levels.head.level[0].enter.memory", "0 to 1"),
+        (
+            level("{ pass = \"share\", classes = [\"gold\"] }", "held = 0.5", "held = 0.2"),
+            3,
+            "levels.head.level[0].lets",
+            "unknown class \"gold\"; known are play-fetch, episode-save",
+        ),
+        (
+            level(reserve, "held = 0.5", "held = 0.2")
+                + &level("{ pass = \"share\" }", "held = 0.9", "held = 0.2").replace("\"a\"", "\"b\""),
+            6,
+            "levels.head.level[1].lets",
+            "more of play-fetch on community",
+        ),
+        (level(reserve, "held = 0.5", "held = 0.2").repeat(2), 7, "levels.head.level[1].name", "twice"),
+        ("\n[head]\nwindow_s = 0.1".into(), 3, "levels.head.window_s", "0.5 to 600"),
+        ("[head]\ndwell_s = 1.0".into(), 2, "levels.head.dwell_s", "3 to 3600"),
+        ("[head]\nchanges = 3".into(), 2, "levels.head.changes", "4 to 1000"),
+        ("[hall]\nevidence = 0.2".into(), 2, "levels.hall.evidence", "0.5 to 1"),
+        ("period_s = 0.25\nstale_s = 2.0".into(), 2, "levels.stale_s", "evidence alone"),
+        ("\n\nwindow = 3".into(), 3, "levels", "unknown field"),
+    ];
+    for (text, line, key, problem) in cases {
+        let told = parse(&text).expect_err(&text);
+        let fits = told.line == line && told.key.starts_with(key) && told.problem.contains(problem);
+        assert!(fits, "{told}\nin:\n{text}");
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -18,10 +18,12 @@
         source: std::io::Error,
     },
     /// The text is not of the form expected.
-    #[error("{part}: {source}")]
+    #[error("{part}{}{path}: {source}", if path.is_empty() { "" } else { "." })]
     Malformed {
         /// `configuration` or `settings`.
         part: &'static str,
+        /// The path of what can't be read, as far as the parser came; empty where it is no JSON.
+        path: String,
         /// What the parser said.
         source: serde_json::Error,
     },
@@ -39,6 +41,53 @@
     ConfigError::Field { field: field.into(), problem: problem.into() }
 }
 
+/// Reads a part; the error names the path of what can't be read.
+fn parse<'a, T: Deserialize<'a>>(part: &'static str, text: &'a [u8]) -> Result<T, ConfigError> {
+    let malformed = |path, source| ConfigError::Malformed { part, path, source };
+    let mut reader = serde_json::Deserializer::from_slice(text);
+    let read = serde_path_to_error::deserialize(&mut reader).map_err(|problem| {
+        let path = problem.path().to_string();
+        malformed(if path == "." { String::new() } else { path }, problem.into_inner())
+    })?;
+    reader.end().map_err(|source| malformed(String::new(), source))?;
+    Ok(read)
+}
+
+/// Where the settings hold what the module calls by a name of its own.
+fn path(field: &str) -> String {
+    let (list, rest) = match field.split_once('.') {
+        Some((list, rest)) if list.ends_with(']') => (list, rest),
+        _ => ("", field),
+    };
+    let name = match rest {
+        "hosts" => "n_instances",
+        "tick" => "period",
+        "max_attempts" => "bounds.max_attempts",
+        "max_wait" => "bounds.max_retry_after",
+        "mean_units" => "domain.unit_mean",
+        "most_units" => "domain.units_top",
+        "share_worth" => "domain.within_share",
+        "spare_worth" => "domain.idle_worth",
+        "use_period" => "domain.use_period",
+        "cold.units" => "domain.cold_units",
+        "cold.span" => "guarantees.fall",
+        "cold.from" => "guarantees.cold_from",
+        "cold.warm_within" => "guarantees.warm_within",
+        "cold.multiple" => "guarantees.tip_multiple",
+        "order_pause" => "guarantees.order_pause",
+        "ask_every" => "guarantees.ask_every",
+        "budget.free" => "guarantees.budget_free",
+        "budget.share" => "guarantees.budget_share",
+        "budget.window" => "guarantees.budget_window",
+        "limit.rate" => "limit",
+        "limit.burst" => "limit_burst",
+        "limit.slack" => "cap_slack",
+        same => same,
+    };
+    let list = list.replace("plans[", "service_levels[");
+    if list.is_empty() { format!("settings.{name}") } else { format!("settings.{list}.{name}") }
+}
+
 /// The limits of the machine that a head runs on.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
@@ -108,8 +157,7 @@
 
     /// Reads a configuration's text.
     pub fn parse(text: &[u8]) -> Result<Config, ConfigError> {
-        let file: ConfigFile = serde_json::from_slice(text)
-            .map_err(|source| ConfigError::Malformed { part: "configuration", source })?;
+        let file: ConfigFile = parse("configuration", text)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| field("seed", e.to_string()))?;
         let (mut settings, notes) = convert(file.settings)?;
         let clients_hold = file.limits.sockets / CLIENTS_PART;
@@ -266,9 +314,7 @@
 
 /// Reads the settings; the error names what is wrong.
 pub fn read(text: &[u8]) -> Result<(Settings, WireNotes), ConfigError> {
-    let conf =
-        serde_json::from_slice(text).map_err(|source| ConfigError::Malformed { part: "settings", source })?;
-    convert(conf)
+    convert(parse("settings", text)?)
 }
 
 fn convert(conf: Conf) -> Result<(Settings, WireNotes), ConfigError> {
@@ -315,7 +361,7 @@
         order_pause: g.order_pause.unwrap_or(0.0),
         max_wait: if conf.bounds.retry_after { conf.bounds.max_retry_after } else { 0.0 },
     };
-    settings.check().map_err(|e| field(format!("settings.{}", e.field), e.problem))?;
+    settings.check().map_err(|e| field(path(&e.field), e.problem))?;
     if !(g.drain_grace >= 0.0 && g.drain_grace < 1e6) {
         return Err(field("settings.guarantees.drain_grace", "must not be below zero"));
     }
@@ -345,9 +391,10 @@
 
 fn class(index: usize, c: &ClassConf) -> Result<Class, ConfigError> {
     let group = match c.group.as_str() {
-        "all" | "" => RepeatGroup::All,
+        "all" => RepeatGroup::All,
         "zone" => RepeatGroup::Zone,
-        "cell" => RepeatGroup::Shard,
+        // Where it is not told, the strictest.
+        "cell" | "" => RepeatGroup::Shard,
         other => {
             return Err(field(
                 format!("settings.classes[{index}].group"),
--- a/src/core.rs
+++ b/src/core.rs
@@ -8,7 +8,7 @@
 use crate::api::*;
 use crate::content::{Content, Payload, Upload};
 use crate::counters::{Counters, Final, Flight, LevelGauges};
-use crate::watch::{Gauges, Watch};
+use crate::monitor::{Gauges, Monitor};
 use bytes::Bytes;
 use flaxgap_levels::report::Change;
 use std::cell::{Cell, RefCell};
@@ -24,7 +24,7 @@
 /// Past a deadline, how long the module's answer is still awaited before the head words one itself.
 const OVERDUE: Duration = Duration::from_millis(20);
 
-/// How long an id stays known, longer than any request, and how many are.
+/// How long an id stays known at least, or as long as the longest deadline of the settings, and how many are.
 const KNOWN_FOR: Duration = Duration::from_secs(10);
 const MOST_KNOWN: usize = 8192;
 
@@ -311,14 +311,15 @@
     woken: Notify,
     counters: Rc<Counters>,
     observer: RefCell<Option<Rc<dyn Observer>>>,
-    watch: RefCell<Option<Watch>>,
-    /// What the module has taken of the core since the watch began.
+    monitor: RefCell<Option<Monitor>>,
+    /// What the module has taken of the core since the monitor began.
     spent: Cell<Duration>,
     finish_by: watch::Sender<Option<Instant>>,
     /// The same, for permits.
     last: Rc<Cell<Option<Instant>>>,
     /// For how long after its first attempt that may have run each class may be sent again.
     windows: Vec<Option<Duration>>,
+    known_for: Duration,
     ids: RefCell<Ids>,
 }
 
@@ -336,6 +337,8 @@
             Repeat::Safe | Repeat::Unsafe => None,
         };
         let windows = settings.classes.iter().map(window).collect();
+        let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let known_for = KNOWN_FOR.max(seconds(longest) + OVERDUE);
         let scheduler = Scheduler::new(settings, seed, clock.now())?;
         let (mailboxes, wakes, pending) = (HashMap::new(), BinaryHeap::new(), Vec::new());
         let next_call = Instant::now();
@@ -343,7 +346,7 @@
         let state = RefCell::new(state);
         let (woken, observer) = (Notify::new(), RefCell::new(None));
         let (finish_by, ids) = (watch::Sender::new(None), RefCell::default());
-        let (watch, spent) = Default::default();
+        let (monitor, spent) = Default::default();
         let last = Rc::default();
         Ok(Rc::new(Dispatcher {
             state,
@@ -351,11 +354,12 @@
             woken,
             counters,
             observer,
-            watch,
+            monitor,
             spent,
             finish_by,
             last,
             windows,
+            known_for,
             ids,
         }))
     }
@@ -365,22 +369,22 @@
         self.observer.replace(Some(observer));
     }
 
-    /// Has a watch keep the levels of reduced service from now on; none leaves all at normal.
-    pub fn watch(&self, watch: Option<Watch>) {
-        self.watch.replace(watch);
+    /// Has a monitor keep the levels of reduced service from now on; none leaves all at normal.
+    pub fn monitor(&self, monitor: Option<Monitor>) {
+        self.monitor.replace(monitor);
         self.spent.set(Duration::ZERO);
         self.counters.set_levels(LevelGauges::default());
         self.tell(&[Event::Level(Level::default())]);
     }
 
-    /// The watch, for an operator's call, at this moment of the module's clock; none where levels are off.
-    pub fn watched<R>(&self, call: impl FnOnce(&mut Watch, f64) -> R) -> Option<R> {
-        self.watch.borrow_mut().as_mut().map(|watch| call(watch, self.clock.now()))
+    /// The monitor, for an operator's call, at this moment of the module's clock; none where levels are off.
+    pub fn monitored<R>(&self, call: impl FnOnce(&mut Monitor, f64) -> R) -> Option<R> {
+        self.monitor.borrow_mut().as_mut().map(|monitor| call(monitor, self.clock.now()))
     }
 
     /// Tells the module of the levels in force, if it has not heard of them yet.
     pub fn apply_level(&self) {
-        let level = self.watched(|watch, now| watch.moved(now)).flatten();
+        let level = self.monitored(|monitor, now| monitor.moved(now)).flatten();
         level.into_iter().for_each(|level| self.tell(&[Event::Level(level)]));
     }
 
@@ -388,14 +392,14 @@
     /// `descriptors` are the parts in use.
     pub fn look(&self, memory: f64, descriptors: f64) -> Vec<Change> {
         let gauges = Gauges { memory, descriptors, module: self.spent.get().as_secs_f64() };
-        let looked = self.watched(|watch, now| {
+        let looked = self.monitored(|monitor, now| {
             let state = self.state.borrow();
             self.counters.withheld.follow(state.scheduler.withheld());
-            let looked = watch.look(now, state.scheduler.kept(), gauges);
-            let ((level, halls), pinned) = (watch.governor().rungs(), watch.governor().pinned());
+            let looked = monitor.look(now, state.scheduler.kept(), gauges);
+            let ((level, halls), pinned) = (monitor.governor().rungs(), monitor.governor().pinned());
             let [level, halls, pinned] = [level, halls, pinned].map(|count| count as u64);
             self.counters.set_levels(LevelGauges { level, halls, pinned });
-            self.counters.level_changes.follow(watch.governor().total());
+            self.counters.level_changes.follow(monitor.governor().total());
             looked
         });
         let looked = looked.unwrap_or_default();
@@ -409,7 +413,10 @@
     /// repeat included, and nodes would take a second one for another attempt of the first.
     pub fn claim(&self, id: &Bytes) -> bool {
         let (ids, now) = (&mut *self.ids.borrow_mut(), Instant::now());
-        while ids.order.front().is_some_and(|(at, _)| *at + KNOWN_FOR <= now || ids.order.len() >= MOST_KNOWN)
+        while ids
+            .order
+            .front()
+            .is_some_and(|(at, _)| *at + self.known_for <= now || ids.order.len() >= MOST_KNOWN)
         {
             if let Some((_, old)) = ids.order.pop_front() {
                 ids.known.remove(&old);
@@ -463,9 +470,9 @@
         let events = std::mem::take(&mut state.pending);
         let now = self.clock.now();
         state.scheduler.handle(now, &events, &mut actions);
-        if let Some(watch) = self.watch.borrow_mut().as_mut() {
+        if let Some(monitor) = self.monitor.borrow_mut().as_mut() {
             self.spent.set(self.spent.get() + Duration::from_secs_f64((self.clock.now() - now).max(0.0)));
-            watch.heed(now, &events, &actions);
+            monitor.heed(now, &events, &actions);
         }
         for action in actions {
             let (request, choice) = match action {
--- a/src/front/closing.rs
+++ b/src/front/closing.rs
@@ -7,7 +7,11 @@
 use std::future::Future;
 use std::io;
 use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
@@ -70,3 +74,42 @@
         log::debug!("http: {dropped} bytes came after a connection's end");
     }
 }
+
+/// A connection's socket for a protocol's library, held as well by whoever ends the connection after it.
+pub struct Shared(pub Rc<TcpStream>);
+
+impl AsyncRead for Shared {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
+                Ok(some) => {
+                    buf.advance(some);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => {}
+                Err(problem) => return Poll::Ready(Err(problem)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Shared {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write(buf) {
+                Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
--- a/src/front/http2.rs
+++ b/src/front/http2.rs
@@ -4,6 +4,7 @@
 
 use crate::core::{Transport, seconds};
 use crate::descriptors::Slot;
+use crate::front::closing::{self, Shared, Why};
 use crate::front::request::{Desk, Outgoing};
 use bytes::{Buf, Bytes};
 use flaxgap_streams::Http2;
@@ -112,7 +113,7 @@
 
 /// A connection whose frames are looked at as they come.
 struct Seen {
-    stream: TcpStream,
+    stream: Shared,
     guard: Rc<Guard>,
 }
 
@@ -248,7 +249,10 @@
                     let (front, guard) = (self.clone(), self.desk.phases.connection());
                     tokio::task::spawn_local(async move {
                         let _held = (place, guard);
-                        front.serve(stream, slot).await;
+                        let (stream, close) = (Rc::new(stream), Rc::new(Notify::new()));
+                        front.clone().serve(stream.clone(), &slot, &close).await;
+                        // The library has said its goodbye; what still comes is not to reset it.
+                        closing::end(&stream, Why::Done, close.notified(), &front.desk.counters).await;
                     });
                 }
                 Err(problem) => {
@@ -261,14 +265,13 @@
     }
 
     /// One connection's life: its preface, its streams, its goodbye.
-    async fn serve(self: Rc<Self>, mut stream: TcpStream, slot: Slot) {
+    async fn serve(self: Rc<Self>, stream: Rc<TcpStream>, slot: &Slot, close: &Rc<Notify>) {
         let counters = &self.desk.counters;
         counters.client_connections.add();
         counters.http2_connections.add();
         if let Err(problem) = stream.set_nodelay(true) {
             log::debug!("http2: {problem}");
         }
-        let close = Rc::new(Notify::new());
         let closer = close.clone();
         slot.silent(move || closer.notify_one());
         let member = Member { front: self.clone(), connection: self.admission.borrow_mut().connect() };
@@ -283,7 +286,7 @@
                 counters.bad_input.add();
                 log::info!("http2: {problem}");
                 if problem == NotHttp2::Http1 {
-                    let told = timeout(LAST_WORD, stream.write_all(WRONG_PORT.as_bytes())).await;
+                    let told = timeout(LAST_WORD, Shared(stream).write_all(WRONG_PORT.as_bytes())).await;
                     log::debug!("http2: told so: {told:?}");
                 }
                 return;
@@ -305,7 +308,7 @@
             .initial_connection_window_size(self.settings.connection_window)
             .max_header_list_size(self.settings.header_list)
             .max_send_buffer_size(SEND_BUFFER);
-        let seen = Seen { stream, guard: guard.clone() };
+        let seen = Seen { stream: Shared(stream), guard: guard.clone() };
         let opening = builder.handshake::<_, Bytes>(seen);
         let mut connection = match timeout(patience.saturating_sub(started.elapsed()), opening).await {
             Ok(Ok(connection)) => connection,
@@ -318,7 +321,7 @@
         let mut closing = self.desk.phases.subscribe_closing();
         let mut leaving = false;
         slot.busy();
-        rest(&slot, &close);
+        rest(slot, close);
         loop {
             let due = goodbye.due().map_or(Instant::now() + NEVER, |due| started + seconds(due));
             let act = tokio::select! {
@@ -336,7 +339,7 @@
                 Some(()) = ends.recv() => {
                     goodbye.closed(now());
                     if goodbye.streams() == 0 {
-                        rest(&slot, &close);
+                        rest(slot, close);
                     }
                     match self.desk.phases.leaving() || goodbye.streams() == 0 && self.desk.budget.crowded() {
                         true => goodbye.leave(now(), Cause::Drain),
@@ -357,7 +360,7 @@
                         if self.take(member.connection, request, respond, &ended) {
                             goodbye.opened();
                         } else if goodbye.streams() == 0 {
-                            rest(&slot, &close);
+                            rest(slot, close);
                         }
                         Act::Wait
                     }
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -5,8 +5,8 @@
 use crate::core::{Dispatcher, seconds};
 use crate::descriptors::Budget;
 use crate::memory::Memory;
+use crate::monitor::Monitor;
 use crate::phases::Phases;
-use crate::watch::Watch;
 use flaxgap_levels::governor::PinError;
 use flaxgap_levels::report::{Carry, Change};
 use flaxgap_levels::{Governor, Settings};
@@ -67,7 +67,7 @@
     }
 
     /// Other settings hold from now on; none switches levels off. What is in force goes on where it can. True if
-    /// the watch is new, and has to be told of the nodes.
+    /// the monitor is new, and has to be told of the nodes.
     pub fn configure(&self, settings: Option<Settings>) -> bool {
         let before = self.settings.replace(settings.clone());
         let now = self.dispatcher.clock().now();
@@ -76,12 +76,12 @@
             (None, None) => false,
             (Some(_), None) => {
                 log::info!("levels: off");
-                self.dispatcher.watch(None);
+                self.dispatcher.monitor(None);
                 false
             }
             (Some(before), Some(settings)) => {
                 if before != settings {
-                    let changes = self.dispatcher.watched(|watch, now| watch.configure(settings, now));
+                    let changes = self.dispatcher.monitored(|monitor, now| monitor.configure(settings, now));
                     self.note(&changes.unwrap_or_default());
                 }
                 false
@@ -93,7 +93,7 @@
                 }
                 let rungs = governor.rungs();
                 log::info!("levels: on, the head at rung {}, {} halls reduced", rungs.0, rungs.1);
-                self.dispatcher.watch(Some(Watch::new(governor, &self.module, now)));
+                self.dispatcher.monitor(Some(Monitor::new(governor, &self.module, now)));
                 true
             }
         }
@@ -121,11 +121,11 @@
         }
         let now = self.dispatcher.clock().now();
         let due = || {
-            let in_force = |watch: &mut Watch, _| {
-                let governor = watch.governor();
+            let in_force = |monitor: &mut Monitor, _| {
+                let governor = monitor.governor();
                 governor.rungs() != (0, 0) || governor.pinned() > 0
             };
-            now - self.written.get() >= REWRITTEN && self.dispatcher.watched(in_force).unwrap_or(false)
+            now - self.written.get() >= REWRITTEN && self.dispatcher.monitored(in_force).unwrap_or(false)
         };
         // A newer process in service writes in this one's place.
         if !self.phases.leaving() && (!changes.is_empty() || due()) {
@@ -135,7 +135,9 @@
 
     fn save(&self, now: f64) {
         let Some(path) = &self.path else { return };
-        let Some(carry) = self.dispatcher.watched(|watch, now| watch.governor().carry(now)) else { return };
+        let Some(carry) = self.dispatcher.monitored(|monitor, now| monitor.governor().carry(now)) else {
+            return;
+        };
         let draft = path.with_extension("levels-draft");
         let write = || {
             std::fs::write(&draft, serde_json::to_vec(&carry)?)?;
@@ -165,21 +167,22 @@
     /// The other process of this head has changed a pin.
     pub fn pins_changed(&self) {
         let Some(carry) = self.read() else { return };
-        let changes = self.dispatcher.watched(|watch, now| watch.governor_mut().follow_pins(now, &carry));
+        let changes =
+            self.dispatcher.monitored(|monitor, now| monitor.governor_mut().follow_pins(now, &carry));
         self.note(&changes.unwrap_or_default());
     }
 
     /// What operators are shown, as JSON; none where levels are off.
     pub fn status(&self) -> Option<String> {
-        let status = self.dispatcher.watched(|watch, now| watch.governor().status(now))?;
+        let status = self.dispatcher.monitored(|monitor, now| monitor.governor().status(now))?;
         let text = serde_json::to_string_pretty(&status);
         Some(text.map_or_else(|problem| format!("{{\"error\":\"{problem}\"}}\n"), |text| text + "\n"))
     }
 
     /// Holds a level for an operator; none where levels are off.
     pub fn pin(&self, hold: &Hold) -> Option<Result<Change, PinError>> {
-        let pinned = self.dispatcher.watched(|watch, now| {
-            let governor = watch.governor_mut();
+        let pinned = self.dispatcher.monitored(|monitor, now| {
+            let governor = monitor.governor_mut();
             let scope = governor.scope(&hold.scope)?;
             governor.pin(now, scope, &hold.level, hold.seconds, &hold.who, &hold.why)
         });
@@ -188,8 +191,8 @@
 
     /// Ends a hold before its time; none where levels are off.
     pub fn release(&self, scope: &str, who: &str, why: &str) -> Option<Result<Change, PinError>> {
-        let released = self.dispatcher.watched(|watch, now| {
-            let governor = watch.governor_mut();
+        let released = self.dispatcher.monitored(|monitor, now| {
+            let governor = monitor.governor_mut();
             let scope = governor.scope(scope)?;
             governor.release(now, scope, who, why)
         });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,11 +83,11 @@
 pub mod levels;
 mod logic;
 pub mod memory;
+pub mod monitor;
 pub mod node;
 pub mod ops;
 pub mod pacing;
 pub mod phases;
 pub mod plugin;
-pub mod watch;
 
 pub use logic::Scheduler;
--- a/src/watch.rs
+++ b/src/monitor.rs
@@ -54,8 +54,8 @@
     pub level: Option<Level>,
 }
 
-/// The watch of one head.
-pub struct Watch {
+/// The monitor of one head.
+pub struct Monitor {
     governor: Governor,
     aims: Vec<f64>,
     most_held: usize,
@@ -72,12 +72,12 @@
     told: Level,
 }
 
-impl Watch {
-    /// A watch over a head with these settings of the module.
-    pub fn new(governor: Governor, settings: &Settings, now: f64) -> Watch {
+impl Monitor {
+    /// A monitor of a head with these settings of the module.
+    pub fn new(governor: Governor, settings: &Settings, now: f64) -> Monitor {
         let s = governor.settings();
         let (silent_after, recent, span) = (s.silent_after, s.recent, s.span);
-        Watch {
+        Monitor {
             silence: Silence::new(silent_after, recent),
             attempts: Sliding::new(span, span / STEPS),
             governor,
--- a/tests/moments_clients.rs
+++ b/tests/moments_clients.rs
@@ -78,7 +78,7 @@
         stand.run(20).await;
         client.send(&read(3.0), b"");
         stand.run(100).await;
-        let (rest, ended) = stand.beside(move || client.to_end()).await;
+        let (rest, ended) = stand.beside(move || client.until_end()).await;
         assert_eq!((rest.len(), ended.expect("no reset")), (0, 0));
         stand.until(|stand| stand.count("lingered") == 1).await;
         assert_eq!(brick.seen().len(), 1);
@@ -202,7 +202,7 @@
                 stand.list(&brick);
                 let mut client = stand.client().await;
                 client.send(&read(3.0).replace("HTTP/1.1", &format!("HTTP/{version}")), b"");
-                let (got, ended) = stand.beside(move || client.to_end()).await;
+                let (got, ended) = stand.beside(move || client.until_end()).await;
                 let ends_well = ended.is_ok() && (version == "1.0" || got.ends_with(b"\r\n0\r\n\r\n"));
                 assert!(got.starts_with(format!("HTTP/{version} 200").as_bytes()), "{head:?}, {version}");
                 assert!(!ends_well, "{head:?}, HTTP/{version}: it looks whole");
--- a/tests/moments_head.rs
+++ b/tests/moments_head.rs
@@ -322,9 +322,9 @@
         stream.write_all(&[b'x'; 4096]).expect("written");
         thread::sleep(Duration::from_millis(50));
     };
-    let steps: [(&str, &dyn Fn(&mut UnixStream)); 5] =
-        [("found", &found), ("taken", &taken), ("half a word", &half), ("ready", &ready), ("noise", &noise)];
-    for (number, (step, act)) in steps.into_iter().enumerate() {
+    let steps: [fn(&mut UnixStream); 5] = [found, taken, half, ready, noise];
+    let names = ["found", "taken", "half a word", "ready", "noise"];
+    for (number, (step, act)) in names.into_iter().zip(steps).enumerate() {
         let mut newer = UnixStream::connect(&path).expect("the older process");
         act(&mut newer);
         // Where the newer one has said that it is ready, nobody accepts until it is known to be gone.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -542,7 +542,7 @@
     }
 
     /// What comes until the connection ends, and how it ended.
-    pub fn to_end(&mut self) -> (Vec<u8>, std::io::Result<usize>) {
+    pub fn until_end(&mut self) -> (Vec<u8>, std::io::Result<usize>) {
         let mut all = Vec::new();
         let ended = self.from.read_to_end(&mut all);
         (all, ended)
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,115 @@
+//! Settings of other customers: what is odd but legal is served, what can't be served ends the start with the path of
+//! what is wrong.
+
+mod peers;
+use peers::*;
+use std::process::{Command, Stdio};
+
+/// The configuration of the stories with one value of the settings replaced; none takes it out.
+fn with(path: &str, value: Option<&str>) -> String {
+    let discovery = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    let mut config: serde_json::Value =
+        serde_json::from_str(&config_at(discovery, 1024, "null")).expect("a value");
+    let pointer = format!("/{}", path.replace(['.', '['], "/").replace(']', ""));
+    let (parent, name) = pointer.rsplit_once('/').expect("a path");
+    let parent = config.pointer_mut(parent).expect("a parent");
+    match (value.map(|text| serde_json::from_str(text).expect("a value")), name.parse::<usize>()) {
+        (Some(value), Ok(place)) => parent[place] = value,
+        (Some(value), Err(_)) => parent[name] = value,
+        (None, _) => _ = parent.as_object_mut().expect("an object").remove(name),
+    }
+    config.to_string()
+}
+
+/// Each bad value ends the start soon, with its path in one line of the log.
+#[test]
+fn a_bad_value_ends_the_start_with_its_path() {
+    let bad = [
+        ("listen", Some("7")),
+        ("seed", Some("\"no hex\"")),
+        ("limits.sockets", Some("-1")),
+        ("limits.memory_mb", None),
+        ("settings.classes", Some("[]")),
+        ("settings.classes[1].deadline", Some("0")),
+        ("settings.classes[0].aim", Some("\"soon\"")),
+        ("settings.classes[0].idempotency", Some("\"often\"")),
+        ("settings.classes[1].group", Some("\"street\"")),
+        ("settings.classes[1].repeat_window", Some("-1")),
+        ("settings.membership_mode", Some("\"shout\"")),
+        ("settings.n_instances", Some("0")),
+        ("settings.period", Some("-0.1")),
+        ("settings.bounds.max_attempts", Some("0")),
+        ("settings.bounds.connect_timeout", Some("0")),
+        ("settings.bounds.conn_idle", Some("-3")),
+        ("settings.domain.unit_mean", Some("-1")),
+        ("settings.domain.cold_units", Some("-1")),
+        ("settings.guarantees.drain_grace", Some("-0.25")),
+        ("settings.guarantees.fall", Some("null")),
+        ("settings.guarantees.warm_within", Some("-2")),
+        ("settings.service_levels[1].weight", Some("-1")),
+        ("settings.service_levels[0].limit_burst", Some("-1")),
+        ("settings.service_levels[0].reserve", Some("true")),
+    ];
+    for (path, value) in bad {
+        let folder = std::env::temp_dir().join(format!("flaxgap-bad-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(folder.join("config.json"), with(path, value)).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap"));
+        command.env("LB_CONFIG", folder.join("config.json")).env("TMPDIR", &folder).stderr(Stdio::piped());
+        let ended = command.spawn().expect("it starts").wait_with_output().expect("it ends");
+        let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+        assert!(!ended.status.success(), "{path}: {said}");
+        // A field that is missing is named in the words of the parser.
+        let (named, _) = path.rsplit_once('.').unwrap_or((path, ""));
+        let named = if value.is_none() { named } else { path };
+        assert!(said.contains(named), "{path}: {said}");
+        std::fs::remove_dir_all(folder).expect("removed");
+    }
+}
+
+/// Each odd value is served, at once and by its meaning.
+#[test]
+fn an_odd_value_is_served() {
+    let odd = [
+        ("settings.period", Some("0")),
+        ("settings.period", Some("0.05")),
+        ("settings.classes[1].repeat_window", Some("0")),
+        ("settings.classes[1].repeat_window", Some("1e300")),
+        ("settings.classes[1].repeat_window", None),
+        ("settings.classes[1].group", None),
+        ("settings.classes[0].deadline", Some("0.15")),
+        ("settings.classes[0].deadline", Some("1e300")),
+        ("settings.classes[0].aim", Some("90")),
+        ("settings.classes[0].worth", Some("0")),
+        ("settings.bounds.conn_idle", Some("0.001")),
+        ("settings.bounds.connect_timeout", Some("900")),
+        ("settings.bounds.max_attempts", Some("1")),
+        ("settings.bounds.cancel", Some("false")),
+        ("settings.bounds.second_copies", Some("true")),
+        ("settings.guarantees.drain_grace", Some("0")),
+        ("settings.guarantees.drain_grace", Some("30")),
+        ("settings.guarantees.cold_from", Some("1")),
+        ("settings.n_instances", Some("1024")),
+        ("settings.zones", Some("[]")),
+        ("settings.report", Some("{\"names\":[],\"source\":\"none\"}")),
+        ("settings.membership_mode", Some("\"ask\"")),
+        ("settings.domain.use_period", Some("0")),
+        ("settings.service_levels[1].reserve", Some("0")),
+        ("settings.service_levels[1].weight", Some("0")),
+        ("settings.something_new", Some("{\"of\":[1,2]}")),
+    ];
+    for (path, value) in odd {
+        let brick = Brick::start(|_, _| Step::Serve(b"served".to_vec()));
+        let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+        let text = with(path, value).replace("127.0.0.1:9\"", &format!("{}\"", discovery.address));
+        let mut head = Head::start_text(&text, None, &[]);
+        let mut client = Client::new(head.http);
+        let read = Client::request("play-fetch", "network", 1, 2.0, 0);
+        assert_eq!(client.ask(&read, b"").body, b"served", "{path}: {value:?}");
+        let write = Client::request("episode-save", "network", 1, 2.0, 3);
+        assert_eq!(client.ask(&write, b"abc").body, b"served", "{path}: {value:?}");
+        drop(client);
+        head.signal("-TERM");
+        assert!(head.ended(), "{path}: {value:?}");
+    }
+}
--- a/tests/stories_http2.rs
+++ b/tests/stories_http2.rs
@@ -198,6 +198,12 @@
     let answer = get(address, "/-/ready");
     assert_eq!((answer.status(), answer.header("connection")), (505, "close"));
     assert!(String::from_utf8_lossy(&answer.body).contains("speaks HTTP/2"));
+    // Of more than is read of it nothing resets the answer.
+    let mut long = Client::new(address);
+    long.send("PUT / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n", &[b'x'; 20_000]);
+    std::thread::sleep(Duration::from_millis(100));
+    let (said, ended) = long.until_end();
+    assert!(said.starts_with(b"HTTP/1.1 505") && ended.is_ok(), "{ended:?}");
     let mut other = Raw::new(head.http);
     assert!(other.until(|seen| !seen.goaways.is_empty()));
     assert_eq!(other.seen.goaways, [(0, code::HTTP_1_1_REQUIRED)]);
