--- a/src/node.rs
+++ b/src/node.rs
@@ -117,16 +117,8 @@
             return Err(Withheld::Node);
         }
         // Nothing is lost by asking the rest once, when it counts.
-        let asked = (stage == Stage::FirstByte).then(Instant::now);
-        if let Some(late) = asked.and_then(|now| self.permit.late(now)) {
-            match late {
-                Late::Deadline => self.counters.held_back_deadline.add(),
-                Late::Window => self.counters.held_back_window.add(),
-                Late::End => self.counters.held_back_end.add(),
-                Late::Client => self.counters.held_back_client.add(),
-            }
-            log::debug!("node: not sent to node {} ({stage:?}): {late:?}", self.node.0);
-            return Err(Withheld::Late(late));
+        if stage == Stage::FirstByte {
+            self.in_time(stage)?;
         }
         if connection.is_some_and(|stream| !quiet(stream)) {
             self.counters.held_back_connection.add();
@@ -137,6 +129,21 @@
     }
 }
 
+impl Gate {
+    /// Asks the permit.
+    fn in_time(&self, stage: Stage) -> Result<(), Withheld> {
+        let Some(late) = self.permit.late(Instant::now()) else { return Ok(()) };
+        match late {
+            Late::Deadline => self.counters.held_back_deadline.add(),
+            Late::Window => self.counters.held_back_window.add(),
+            Late::End => self.counters.held_back_end.add(),
+            Late::Client => self.counters.held_back_client.add(),
+        }
+        log::debug!("node: not sent to node {} ({stage:?}): {late:?}", self.node.0);
+        Err(Withheld::Late(late))
+    }
+}
+
 /// Whether nothing has come on a connection that was not read yet, by the system's word: the runtime may not have
 /// heard of it.
 fn quiet(stream: &TcpStream) -> bool {
@@ -563,9 +570,11 @@
                 None => match self.connect(address, gate.permit.begin_by()).await {
                     Some(link) => (link, false),
                     // That it could wait no longer says nothing of the node.
-                    None => match gate.permit.late(Instant::now()) {
-                        Some(Late::Window | Late::End | Late::Client) => return Reply::empty(Outcome::Moot),
-                        Some(Late::Deadline) | None => return Reply::empty(Outcome::ConnectFailed),
+                    None => match gate.in_time(Stage::Chosen) {
+                        Err(Withheld::Late(Late::Window | Late::End | Late::Client)) => {
+                            return Reply::empty(Outcome::Moot);
+                        }
+                        _ => return Reply::empty(Outcome::ConnectFailed),
                     },
                 },
             };
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -1,6 +1,7 @@
 //! The gate, with its private parts.
 
 use super::*;
+use crate::counters::Counter;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -314,7 +315,7 @@
             queued.push(stream);
             assert!(queued.len() < 64, "the queue never fills");
         }
-        let (nodes, _) = nodes_at(address);
+        let (nodes, counters) = nodes_at(address);
         for (window, last) in [(true, false), (false, true)] {
             let (now, far) = (Instant::now(), Instant::now() + Duration::from_secs(60));
             let soon = Some(now + REST * 2);
@@ -327,5 +328,7 @@
         let reply =
             nodes.send(NodeId(1), &read_of("1"), &Rc::new(Permit::until(Instant::now() + REST))).await;
         assert_eq!(reply.outcome, Outcome::ConnectFailed, "its time was over, and it never came up");
+        let counted = [&counters.held_back_window, &counters.held_back_end, &counters.held_back_deadline];
+        assert_eq!(counted.map(Counter::get), [1, 1, 1]);
     });
 }
