An answer is not a connection's last where another request came in the same read

Seen: a story in which two requests come at once and the connection is to close: the first answer said Connection: close, and the second request was lost.

--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -324,6 +324,9 @@
         };
         let (doubtful, body) = (matches!(self.next, Next::Nothing), !matches!(self.next, Next::Head));
         self.conversation.handed_on(doubtful, body);
+        if !doubtful && !body && self.held.len() > end {
+            self.conversation.coming();
+        }
         self.passed = end;
     }
 }
@@ -392,6 +395,9 @@
     fn ended(&mut self) {
         self.next = Next::Head;
         self.conversation.body.set(false);
+        if self.held.len() > self.passed {
+            self.conversation.coming();
+        }
     }
 }
 
--- a/tests/moments_clients.rs
+++ b/tests/moments_clients.rs
@@ -62,6 +62,30 @@
     }
 }
 
+/// A second request has come before the first is answered, and the connection is to close: both are answered, and only
+/// the last answer says that it is.
+#[test]
+fn an_answer_is_not_the_last_while_another_request_has_come() {
+    for first in [read(3.0), [write(b"body"), "body".into()].concat()] {
+        on_a_stand(async |stand| {
+            let brick = Brick::start(|_, m| match m.line.contains("slow") {
+                true => Step::After(Duration::from_millis(200), Box::new(Step::Serve(b"first".to_vec()))),
+                false => Step::Serve(b"second".to_vec()),
+            });
+            stand.list(&brick);
+            let mut client = stand.client().await;
+            client.send(&[first.replacen(" HTTP", "?slow HTTP", 1), read(3.0)].concat(), b"");
+            stand.until(|_| brick.seen().len() == 1).await;
+            stand.phases.close_idle();
+            let answers = stand.beside(move || [client.answer(), client.answer(), client.answer()]).await;
+            let said =
+                answers.map(|answer| answer.map(|a| (a.body.clone(), a.header("connection").to_string())));
+            let close = Some((b"second".to_vec(), "close".to_string()));
+            assert_eq!(said, [Some((b"first".to_vec(), String::new())), close, None]);
+        });
+    }
+}
+
 /// A resting connection that was closed with nothing on it: what comes then is not served, and its client can tell.
 #[test]
 fn what_comes_after_the_end_of_a_connection_is_not_sent_on() {
@@ -211,3 +235,62 @@
         }
     }
 }
+
+/// The idle time of a connection is over, and in that very moment bytes come, after the runtime last heard from the
+/// system and before the connection's task runs: the task that writes them is woken by the same turn of the clock,
+/// just before. Without bytes the connection ends then.
+#[test]
+fn a_request_that_comes_as_the_idle_time_ends_is_served() {
+    const ALMOST: Duration = Duration::from_millis(2099);
+    let healthy = "GET /-/healthy HTTP/1.1\r\nHost: head\r\n\r\n";
+    for cut in [0, 1, healthy.len() / 2, healthy.len()] {
+        on_a_stand(async |stand| {
+            tokio::time::pause();
+            let mut client = stand.client().await;
+            client.send(healthy, b"");
+            stand.settle().await;
+            assert_eq!(client.answer().expect("an answer").status(), 200);
+            let writes = tokio::task::spawn_local(async move {
+                tokio::time::sleep(ALMOST).await;
+                client.try_send(&healthy[..cut]);
+                client
+            });
+            stand.settle_still().await;
+            tokio::time::advance(ALMOST + Duration::from_millis(2)).await;
+            stand.settle_still().await;
+            let mut client = writes.await.expect("written");
+            if cut > 0 {
+                client.try_send(&healthy[cut..]);
+            }
+            stand.settle().await;
+            assert_eq!(
+                client.answer().map(|answer| answer.status()),
+                (cut > 0).then_some(200),
+                "cut at {cut}"
+            );
+        });
+    }
+}
+
+/// An answer that says no length, short enough to be held, and a reset instead of its end: it is not whole, and the read
+/// is sent again; the same with a length and in chunks.
+#[test]
+fn an_answer_cut_by_a_reset_is_never_whole() {
+    for text in [
+        "HTTP/1.1 200 OK\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    ] {
+        on_a_stand(async |stand| {
+            let brick = Brick::start(move |number, _| match number {
+                0 => Step::Reset(text.as_bytes().to_vec()),
+                _ => Step::Serve(b"whole".to_vec()),
+            });
+            stand.list(&brick);
+            let mut client = stand.client().await;
+            client.send(&read(3.0), b"");
+            let answer = stand.beside(move || client.answer()).await.expect("an answer");
+            assert_eq!((&answer.body[..], stand.count("reset")), (&b"whole"[..], 1), "{text:?}");
+        });
+    }
+}
--- a/tests/moments_core.rs
+++ b/tests/moments_core.rs
@@ -376,6 +376,58 @@
     })
 }
 
+/// A way to nodes on which an attempt comes so far and no further; whether one came.
+struct Stuck(Written, Cell<bool>);
+
+impl Transport for Stuck {
+    async fn send(&self, _: NodeId, _: &Envelope, permit: &Rc<Permit>) -> Reply {
+        permit.written.set(self.0);
+        self.1.set(true);
+        std::future::pending().await
+    }
+}
+
+/// The head's end comes while an unsafe request's attempt is still connecting, in the middle of writing, or waited for: only
+/// what its node had whole may have run, and is no refusal.
+#[test]
+fn at_the_end_what_never_was_whole_at_its_node_is_refused() {
+    for (written, refused) in [(Written::Nothing, true), (Written::Part, true), (Written::All, false)] {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let counters = Rc::new(Counters::default());
+            let dispatcher =
+                Dispatcher::new(settings(), 1, Clock::start(), counters.clone()).expect("served");
+            let (node, shard, zone) = (NodeId(1), ShardId(0), ZoneId(0));
+            let node = NodeInfo { node, shard, since: 0.0, zone, state: NodeState::Ready };
+            dispatcher.tell(&[Event::Nodes { kind: ListKind::Whole, nodes: vec![node] }]);
+            let (now, keeper) = (Instant::now(), dispatcher.clone());
+            spawn_local(async move { keeper.keep_time().await });
+            dispatcher.finish_by(now + Duration::from_millis(500));
+            let payload = Payload::Whole(Bytes::new());
+            let (verb, target, id) = (Verb::Write, "/d/1/2".into(), Bytes::from_static(b"1"));
+            let envelope = Rc::new(Envelope { verb, target, id, repeat_key: None, payload });
+            let call = Call {
+                class: ClassId(3),
+                plan: PlanId(0),
+                volume: VolumeId(1),
+                extent: None,
+                shard: Some(ShardId(0)),
+                units: 1.0,
+                hosts: 1,
+                repeat: false,
+                deadline: now + Duration::from_secs(1),
+                client: None,
+                envelope,
+            };
+            let stuck = Stuck(written, Cell::new(false));
+            let answer = dispatcher.serve(&stuck, call, counters.flight(ClassId(3))).await;
+            assert!(stuck.1.get(), "there was an attempt");
+            assert_eq!(matches!(answer, Answer::Refused { .. }), refused, "{written:?}: {answer:?}");
+            assert!(now.elapsed() < Duration::from_millis(550), "{:?}", now.elapsed());
+        });
+    }
+}
+
 const SEEDS: u64 = 5000;
 
 #[test]
--- a/tests/peers/stand.rs
+++ b/tests/peers/stand.rs
@@ -96,6 +96,22 @@
         tokio::task::yield_now().await;
     }
 
+    /// Lets all of it run until it rests; the clock may stand still.
+    pub async fn settle(&self) {
+        for _ in 0..20 {
+            // Some of what a side has written may take its time through the system.
+            std::thread::sleep(Duration::from_millis(1));
+            self.settle_still().await;
+        }
+    }
+
+    /// The same for what is at hand.
+    pub async fn settle_still(&self) {
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Does something that blocks while all of it runs.
     pub async fn beside<O: Send + 'static>(&self, work: impl FnOnce() -> O + Send + 'static) -> O {
         tokio::task::spawn_blocking(work).await.expect("it ends")
