--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -247,6 +247,20 @@
     });
 }
 
+/// Where no connection comes up: a listener whose queue is full, and what fills it, both to be kept.
+async fn full() -> (SocketAddr, (TcpListener, Vec<TcpStream>)) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout_at(Instant::now() + REST * 10, TcpStream::connect(address)).await {
+        queued.push(stream);
+        assert!(queued.len() < 64, "the queue never fills");
+    }
+    (address, (listener, queued))
+}
+
 /// An attempt is called off before, in and after the writing of its request: what was written is known once its
 /// future is dropped, and its node sees the connection's end there and then.
 #[test]
@@ -281,16 +295,7 @@
                 .await
                 .expect("its end");
         }
-        // A listener whose queue is full lets no connection come up.
-        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
-        let listener = socket.listen(1).expect("a listener");
-        let address = listener.local_addr().expect("an address");
-        let mut queued = Vec::new();
-        while let Ok(Ok(stream)) = timeout_at(Instant::now() + REST * 10, TcpStream::connect(address)).await {
-            queued.push(stream);
-            assert!(queued.len() < 64, "the queue never fills");
-        }
+        let (address, _full) = full().await;
         let (nodes, _) = nodes_at(address);
         let permit = Rc::new(Permit::until(Instant::now() + Duration::from_secs(60)));
         let envelope = read_of("1");
@@ -306,15 +311,7 @@
 fn a_connect_is_not_waited_for_past_the_window_or_the_end() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
-        let listener = socket.listen(1).expect("a listener");
-        let address = listener.local_addr().expect("an address");
-        let mut queued = Vec::new();
-        while let Ok(Ok(stream)) = timeout_at(Instant::now() + REST * 10, TcpStream::connect(address)).await {
-            queued.push(stream);
-            assert!(queued.len() < 64, "the queue never fills");
-        }
+        let (address, _full) = full().await;
         let (nodes, counters) = nodes_at(address);
         for (window, last) in [(true, false), (false, true)] {
             let (now, far) = (Instant::now(), Instant::now() + Duration::from_secs(60));
