Block sessions end by the one close as well, so that no reset takes the last word

Seen: noise on the block front's port, more than is read of it, ended the connection with a reset; the socket fell at once (front/block/mod.rs). The session's socket is shared with front/closing.rs now, as HTTP/2's is. The story fails without it.

--- a/src/front/block/mod.rs
+++ b/src/front/block/mod.rs
@@ -12,6 +12,7 @@
 use crate::core::{Dispatcher, Transport};
 use crate::counters::Counters;
 use crate::descriptors::Budget;
+use crate::front::closing::{self, Why};
 use crate::phases::Phases;
 use bytes::Bytes;
 use config::Target;
@@ -151,9 +152,11 @@
             let (front, guard) = (self.clone(), self.phases.connection());
             tokio::task::spawn_local(async move {
                 let _held = (slot, guard);
-                if let Err(problem) = session::serve(front, stream).await {
+                let (stream, counters) = (Rc::new(stream), front.counters.clone());
+                if let Err(problem) = session::serve(front, stream.clone()).await {
                     log::debug!("block: {problem}");
                 }
+                closing::end(&stream, Why::Done, std::future::pending(), &counters).await;
             });
         }
     }
--- a/src/front/block/session.rs
+++ b/src/front/block/session.rs
@@ -8,6 +8,7 @@
 use crate::content::Payload;
 use crate::core::{Answer, Call, Envelope, Transport, Verb, seconds};
 use crate::counters::Final;
+use crate::front::closing::Shared;
 use bytes::{Bytes, BytesMut};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -64,7 +65,7 @@
 
 /// A connection with its numbering.
 pub struct Wire {
-    stream: TcpStream,
+    stream: Shared,
     codec: Codec,
     incoming: BytesMut,
     stat: u32,
@@ -74,9 +75,9 @@
 
 impl Wire {
     /// A connection at its start.
-    pub fn new(stream: TcpStream) -> Wire {
+    pub fn new(stream: Rc<TcpStream>) -> Wire {
         let codec = Codec { header_digest: false, data_digest: false, longest: LONGEST_SEGMENT };
-        Wire { stream, codec, incoming: BytesMut::new(), stat: 1, expected: 0, most: 0 }
+        Wire { stream: Shared(stream), codec, incoming: BytesMut::new(), stat: 1, expected: 0, most: 0 }
     }
 
     /// The next PDU. May be dropped and called again without loss.
@@ -194,7 +195,7 @@
 /// Serves one connection to its end.
 pub async fn serve<T: Transport + 'static>(
     front: Rc<BlockFront<T>>,
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
 ) -> Result<(), SessionError> {
     stream.set_nodelay(true)?;
     let mut wire = Wire::new(stream);
@@ -679,7 +680,7 @@
             };
             match key.as_str() {
                 "SendTargets" if named => {
-                    let address = self.wire.stream.local_addr()?;
+                    let address = self.wire.stream.0.local_addr()?;
                     answers.push(("TargetName".to_string(), target.name.clone()));
                     answers.push(("TargetAddress".to_string(), format!("{address},1")));
                 }
--- a/tests/stories_block.rs
+++ b/tests/stories_block.rs
@@ -363,3 +363,17 @@
     assert_eq!(initiator.most, 16, "and the window is open again");
     assert_eq!((head.counter("block_commands"), head.counter("taken")), (9, 8), "the ninth was ignored");
 }
+
+/// What is no PDU ends the connection, and of more than is read of it nothing resets what was said before.
+#[test]
+fn noise_ends_a_connection_without_a_reset() {
+    use std::io::{Read, Write};
+    let brick = Brick::start(|_, _| Step::Serve(vec![]));
+    let discovery = Discovery::start(&[entry("s-1", brick.address, 0, "ready")]);
+    let head = Head::start(&discovery, Some(BLOCK), &[]);
+    let mut stream = std::net::TcpStream::connect(head.block.expect("the block front")).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(&[0xff; 200_000]).expect("written");
+    let ended = stream.read_to_end(&mut Vec::new());
+    assert!(ended.is_ok(), "{ended:?}");
+}
