--- a/crates/roster/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,6 +1,6 @@
 //! What a head makes of the lists that discovery tells it. Lists come whole or as changes, from sources that may be
 //! behind each other or count their versions anew, and not always in order. The rule that all of it serves: a node
-//! that was told to drain, or to be gone, takes work again only after a start later than that, or by a newer word,
+//! that was told to drain, or to be gone, takes work again only after a start later than that, or by a newer record,
 //! never by an older list. Time is an argument, in seconds of Unix time; nothing here knows a socket.
 
 pub mod values;
@@ -13,53 +13,53 @@
 /// discovery has to tell counts as told 6 s later, so that one that is merely behind has caught up by then.
 pub const BEHIND: f64 = 5.0;
 /// How many names that left are remembered, the latest of them: four times the longest list provided for.
-pub const MOST_LEFT: usize = 4096;
+pub const MAX_DEPARTED: usize = 4096;
 
-/// The number of a word: how often versions were counted anew before it, then the version.
+/// The number of a record: how often versions were counted anew before it, then the version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Number {
-    count: u32,
+    epoch: u32,
     version: u64,
 }
 
 impl Number {
-    /// Whether this word is known to be newer. Versions of different counts say nothing of each other, unless the
+    /// Whether this record is known to be newer. Versions of different counts say nothing of each other, unless the
     /// later count has come past where the earlier one ended.
     fn after(self, other: Number) -> bool {
-        self.count >= other.count && self.version > other.version
+        self.epoch >= other.epoch && self.version > other.version
     }
 
-    /// Whether this word is known to be older.
+    /// Whether this record is known to be older.
     fn before(self, other: Number) -> bool {
-        self.count == other.count && self.version < other.version
+        self.epoch == other.epoch && self.version < other.version
     }
 }
 
-/// What stands of a node: its state and last start, the number of that word, and when it came.
+/// What stands of a node: its state and last start, the number of that record, and when it came.
 #[derive(Clone, Copy, Debug)]
-struct Word {
+struct Record {
     state: State,
     boot: f64,
     number: Number,
     told: f64,
-    /// It leaves by an older list's word than the number, which is of the newer one that had it ready.
+    /// It leaves by an older list's record than the number, which is of the newer one that had it ready.
     doubted: bool,
 }
 
-impl Word {
-    /// The word that stands after another.
-    fn after(known: Option<&Word>, state: State, boot: f64, number: Number, told: f64) -> Word {
-        let fresh = Word { state, boot, number, told, doubted: false };
+impl Record {
+    /// The record that stands after another.
+    fn after(known: Option<&Record>, state: State, boot: f64, number: Number, told: f64) -> Record {
+        let fresh = Record { state, boot, number, told, doubted: false };
         let Some(known) = known.filter(|_| state != State::Ready) else { return fresh };
         // A drain may come without the start of what drains, and an older list's takes nothing from what ends it.
         let (boot, older) = (boot.max(known.boot), number.before(known.number));
         let doubted = older && (known.doubted || known.state == State::Ready);
-        Word { boot, doubted, number: if older { known.number } else { number }, ..fresh }
+        Record { boot, doubted, number: if older { known.number } else { number }, ..fresh }
     }
 
-    /// Whether another word on the same node stands instead of this one. The one place where it is decided which of
-    /// two words counts.
-    fn yields(&self, entry: &Entry, number: Number) -> bool {
+    /// Whether another record on the same node stands instead of this one. The one place where it is decided which of
+    /// two records counts.
+    fn is_superseded_by(&self, entry: &Entry, number: Number) -> bool {
         // A start later than what stands is news in any list, unless an older one can't know of it.
         let restarted = entry.boot > self.boot && (!number.before(self.number) || entry.boot > self.told);
         match (entry.state, self.state) {
@@ -113,9 +113,9 @@
 
 /// The nodes as they stand, by all that was told.
 #[derive(Debug, Default)]
-pub struct Roster {
-    words: HashMap<String, Word>,
-    /// Names that left, oldest first: their words are forgotten in that order.
+pub struct Membership {
+    records: HashMap<String, Record>,
+    /// Names that left, oldest first: their records are forgotten in that order.
     left: VecDeque<String>,
     /// The newest number heard.
     newest: Number,
@@ -123,7 +123,7 @@
     whole: Option<Number>,
 }
 
-impl Roster {
+impl Membership {
     /// The newest version told in the present count.
     pub fn version(&self) -> u64 {
         self.newest.version
@@ -131,16 +131,16 @@
 
     /// Whether this name was listed, lately at least.
     pub fn knows(&self, name: &str) -> bool {
-        self.words.contains_key(name)
+        self.records.contains_key(name)
     }
 
     /// Takes in a list, and gives what it changes: first what a whole list no longer names, then in its order.
     pub fn take(&mut self, list: List, source: &mut Source, now: f64) -> Vec<Change> {
         if list.all && list.rev < self.newest.version && source.counts_anew(now) {
-            self.newest = Number { count: self.newest.count + 1, version: list.rev };
+            self.newest = Number { epoch: self.newest.epoch + 1, version: list.rev };
             self.whole = None;
         }
-        let number = Number { count: self.newest.count, version: list.rev };
+        let number = Number { epoch: self.newest.epoch, version: list.rev };
         source.cursor = list.rev;
         source.behind_since = source.behind_since.or(Some(now)).filter(|_| number.before(self.newest));
         let mut changes = Vec::new();
@@ -148,7 +148,7 @@
         if list.all && !source.is_behind() {
             for name in self.lacking(&list) {
                 // One that left may be forgotten by now, for others that leave here.
-                if self.words.contains_key(&name) {
+                if self.records.contains_key(&name) {
                     changes.extend(self.leave(name, number, now));
                 }
             }
@@ -156,7 +156,7 @@
             self.newest = number;
         }
         for entry in list.entries {
-            changes.extend(self.heed(entry, number, now));
+            changes.extend(self.apply_entry(entry, number, now));
         }
         self.newest.version = self.newest.version.max(list.rev);
         changes
@@ -166,15 +166,15 @@
     fn lacking(&self, list: &List) -> Vec<String> {
         let named: HashSet<&str> = list.names().collect();
         let mut lacking: Vec<String> =
-            self.words.keys().filter(|name| !named.contains(name.as_str())).cloned().collect();
+            self.records.keys().filter(|name| !named.contains(name.as_str())).cloned().collect();
         lacking.sort_unstable();
         lacking
     }
 
-    fn heed(&mut self, entry: Entry, number: Number, now: f64) -> Option<Change> {
-        let known = self.words.get(&entry.name);
+    fn apply_entry(&mut self, entry: Entry, number: Number, now: f64) -> Option<Change> {
+        let known = self.records.get(&entry.name);
         let stands = match known {
-            Some(word) => word.yields(&entry, number),
+            Some(record) => record.is_superseded_by(&entry, number),
             None => self.whole.is_none_or(|whole| !number.before(whole)),
         };
         if !stands {
@@ -183,25 +183,25 @@
         if entry.state == State::Gone {
             return self.leave(entry.name, number, now);
         }
-        let known = self.words.get(&entry.name);
-        if known.is_some_and(|word| word.state == State::Gone) {
+        let known = self.records.get(&entry.name);
+        if known.is_some_and(|record| record.state == State::Gone) {
             self.left.retain(|name| *name != entry.name);
         }
-        let word = Word::after(known, entry.state, entry.boot, number, now);
-        self.words.insert(entry.name.clone(), word);
+        let record = Record::after(known, entry.state, entry.boot, number, now);
+        self.records.insert(entry.name.clone(), record);
         Some(Change::Holds(entry))
     }
 
     /// Notes that a node is gone; a change if it was listed.
     fn leave(&mut self, name: String, number: Number, now: f64) -> Option<Change> {
-        let known = self.words.get(&name).copied();
-        self.words.insert(name.clone(), Word::after(known.as_ref(), State::Gone, 0.0, number, now));
-        if known.is_some_and(|word| word.state == State::Gone) {
+        let known = self.records.get(&name).copied();
+        self.records.insert(name.clone(), Record::after(known.as_ref(), State::Gone, 0.0, number, now));
+        if known.is_some_and(|record| record.state == State::Gone) {
             return None;
         }
         self.left.push_back(name.clone());
-        if self.left.len() > MOST_LEFT {
-            self.left.pop_front().into_iter().for_each(|old| _ = self.words.remove(&old));
+        if self.left.len() > MAX_DEPARTED {
+            self.left.pop_front().into_iter().for_each(|old| _ = self.records.remove(&old));
         }
         known.map(|_| Change::Gone(name))
     }
--- a/crates/roster/tests/words.rs
+++ b/crates/membership/tests/records.rs
@@ -1,8 +1,8 @@
-//! Which word on a node stands: cases that were thought of, then histories drawn from seeds, told by sources that lag,
+//! Which record on a node stands: cases that were thought of, then histories drawn from seeds, told by sources that lag,
 //! to heads that restart. The checker is shown to catch a head that takes each list as it comes.
 
-use flaxgap_roster::wire::{Entry, List, State};
-use flaxgap_roster::{BEHIND, Change, Roster, Source};
+use flaxgap_membership::wire::{Entry, List, State};
+use flaxgap_membership::{BEHIND, Change, Membership, Source};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,13 +20,13 @@
 /// The states of the nodes that a head takes to be listed.
 #[derive(Default)]
 struct Head {
-    roster: Roster,
+    membership: Membership,
     holds: BTreeMap<String, State>,
 }
 
 impl Head {
     fn hear(&mut self, list: List, source: &mut Source, now: f64) {
-        for change in self.roster.take(list, source, now) {
+        for change in self.membership.take(list, source, now) {
             match change {
                 Change::Holds(entry) => _ = self.holds.insert(entry.name, entry.state),
                 Change::Gone(name) => _ = self.holds.remove(&name),
@@ -63,7 +63,7 @@
     }
 }
 
-/// Guards against a name that comes back: by a later start, or by a newer word, and by nothing else.
+/// Guards against a name that comes back: by a later start, or by a newer record, and by nothing else.
 #[test]
 fn what_is_gone_comes_back_by_a_later_start_or_a_newer_word() {
     let (mut head, mut source) = (Head::default(), Source::default());
@@ -74,7 +74,7 @@
     assert_eq!(
         (head.state("a"), head.state("b")),
         (None, Some(Draining)),
-        "a start from before that word is no news"
+        "a start from before that record is no news"
     );
     head.hear(list(3, false, &[entry("a", Ready, 101.5), entry("b", Ready, 101.5)]), &mut late, 102.0);
     assert_eq!((head.state("a"), head.state("b")), (Some(Ready), Some(Ready)));
@@ -84,7 +84,7 @@
 }
 
 /// Guards against a source that counts anew: it stands once it has been behind for too long to be merely late, and
-/// even then its list brings back nothing that was told to leave; its own later word does.
+/// even then its list brings back nothing that was told to leave; its own later record does.
 #[test]
 fn a_source_that_counts_anew_stands_in_time_and_brings_no_leaving_node_back() {
     let (mut head, mut old) = (Head::default(), Source::default());
@@ -253,5 +253,9 @@
         head.hear(list(round + 1, true, &names), &mut source, round as f64);
         assert_eq!(head.holds.len(), 1024);
     }
-    assert!(!head.roster.knows("s-0-5") && head.roster.knows("s-10-5") && head.roster.knows("s-11-1023"));
+    assert!(
+        !head.membership.knows("s-0-5")
+            && head.membership.knows("s-10-5")
+            && head.membership.knows("s-11-1023")
+    );
 }
--- a/crates/roster/tests/values.rs
+++ b/crates/membership/tests/values.rs
@@ -1,7 +1,7 @@
 //! Lists in any layout, cut anywhere, and beside what can't be read.
 
-use flaxgap_roster::values::{LONGEST, Value, ValueError, Values};
-use flaxgap_roster::wire::{List, State};
+use flaxgap_membership::values::{LONGEST, Value, ValueError, Values};
+use flaxgap_membership::wire::{List, State};
 
 const ENTRY: &str =
     r#"{"uid":"s-}\"{\n[","endpoint":"127.0.0.1:80","az":"a]","pod_group":1,"state":"draining","boot_ms":0}"#;
--- a/crates/roster/tests/wire.rs
+++ b/crates/membership/tests/wire.rs
@@ -1,6 +1,6 @@
 //! Entries that can't be read, between others that can.
 
-use flaxgap_roster::wire::{List, ListError, State};
+use flaxgap_membership::wire::{List, ListError, State};
 
 fn parse(targets: &str) -> Result<List, ListError> {
     List::parse(format!(r#"{{"rev":7,"all":false,"targets":[{targets}]}}"#).as_bytes())
--- a/crates/warming/src/lib.rs
+++ b/crates/slow-start/src/lib.rs
@@ -75,7 +75,7 @@
 
 /// One head's view of the node that holds one shard, through the nodes that follow each other there.
 #[derive(Clone, Copy, Debug)]
-pub struct Warming {
+pub struct SlowStart {
     /// What was due to this head there.
     due: Rate,
     /// The same when the node started.
@@ -87,22 +87,22 @@
     at: f64,
 }
 
-impl Default for Warming {
-    fn default() -> Warming {
-        Warming::new(0.0, 0.0)
+impl Default for SlowStart {
+    fn default() -> SlowStart {
+        SlowStart::new(0.0, 0.0)
     }
 }
 
-impl Warming {
+impl SlowStart {
     /// Of a shard whose node this head first hears of. What was due fades within the time in which nodes warm up.
-    pub fn new(warm_within: f64, now: f64) -> Warming {
+    pub fn new(warm_within: f64, now: f64) -> SlowStart {
         let due = Rate { memory: warm_within.max(LEAST_MEMORY), since: now, sum: 0.0, at: now };
-        Warming { due, usual: 0.0, trust: 1.0, saved: None, at: now }
+        SlowStart { due, usual: 0.0, trust: 1.0, saved: None, at: now }
     }
 
     /// Another node holds the shard now, or the same one after a start.
     pub fn started(&mut self, now: f64) {
-        *self = Warming { due: self.due, usual: self.due.now(now), trust: 1.0, saved: None, at: now };
+        *self = SlowStart { due: self.due, usual: self.due.now(now), trust: 1.0, saved: None, at: now };
     }
 
     /// Units that were due to this head: inside a reserve when they came, or served.
--- a/crates/warming/tests/fleet.rs
+++ b/crates/slow-start/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Many heads before one cold node that serves in turn, in virtual time: what all of them send, against what pushes
 //! the node over and what it could have served.
 
-use flaxgap_warming::{Cold, Pace, Warming};
+use flaxgap_slow_start::{Cold, Pace, SlowStart};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -31,7 +31,7 @@
 /// much from its start on. `knows`: whether the heads lived before that.
 fn play(heads: u32, power: f64, (load, factor): (f64, f64), knows: bool, seed: u64) -> Played {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
-    let mut views = vec![Warming::new(COLD.warm_within, 0.0); heads as usize];
+    let mut views = vec![SlowStart::new(COLD.warm_within, 0.0); heads as usize];
     let mut held: Vec<VecDeque<(f64, f64, f64)>> = vec![VecDeque::new(); heads as usize];
     let (mut queue, mut sends) = (VecDeque::<(usize, f64, f64)>::new(), VecDeque::new());
     let (mut asked, mut could, mut sent, mut pressure) = (0.0f64, 0.0f64, 0.0, 0.0f64);
@@ -40,7 +40,7 @@
         let age = now - BEFORE;
         if age.abs() < STEP / 2.0 {
             for view in &mut views {
-                *view = if knows { *view } else { Warming::new(COLD.warm_within, now) };
+                *view = if knows { *view } else { SlowStart::new(COLD.warm_within, now) };
                 view.started(now);
             }
         }
--- a/src/api.rs
+++ b/src/api.rs
@@ -2,7 +2,7 @@
 //!
 //! Times are seconds on a clock of the caller's choosing that never runs backwards.
 
-pub use flaxgap_warming::Cold;
+pub use flaxgap_slow_start::Cold;
 use std::fmt;
 
 /// A request as the caller knows it; never used twice in one life of a scheduler.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::counters::Counters;
 use crate::descriptors::Budget;
 use crate::discovery::Directory;
+use crate::discovery::schedule::PollSchedule;
 use crate::export;
 use crate::front::block::BlockFront;
 use crate::front::block::config::{BlockConfigError, Target};
@@ -19,11 +20,10 @@
 use crate::memory::Memory;
 use crate::node::Nodes;
 use crate::ops::{Ops, OpsError};
-use crate::pacing::Pacing;
 use crate::phases::{Phase, Phases};
 use crate::plugin::{Plugin, PluginError};
-use flaxgap_roster::Source;
-use flaxgap_roster::wire::List;
+use flaxgap_membership::Source;
+use flaxgap_membership::wire::List;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -205,7 +205,7 @@
             counters.clone(),
             bans.clone(),
             zones,
-            Pacing::new(
+            PollSchedule::new(
                 settings.hosts,
                 config.seed,
                 settings.ask_every.is_some(),
--- a/src/contact.rs
+++ b/src/discovery/client.rs
@@ -1,14 +1,14 @@
 //! Keeping in touch with where the list is to be had: calls for the whole list and watches on its changes, at the pace
-//! that [`Asking`] sets. It relies on nothing but a way to connect, knows no node, and never waits for one call before
+//! that [`Poller`] sets. It relies on nothing but a way to connect, knows no node, and never waits for one call before
 //! the next is due: the call that speaks first stands, and what began before it is dropped.
 //!
 //! With an agent of the head's own, a watch is opened anew at an even pace whether the last one speaks or not, so that
 //! neither an agent that was silent nor a watch that fell silent can keep news back for longer than that pace.
 
-use crate::pacing::{Asking, End, Pacing, Spans};
+use crate::discovery::schedule::{CallEnd, CallTimeouts, PollSchedule, Poller};
 use bytes::Bytes;
-use flaxgap_roster::values::{Value, ValueError, Values};
-use flaxgap_roster::wire::List;
+use flaxgap_membership::values::{Value, ValueError, Values};
+use flaxgap_membership::wire::List;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -85,18 +85,18 @@
 
 /// What a call asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ask {
+pub enum Query {
     /// The whole list, once.
     Whole,
     /// What comes after a version, and from then on.
     Since(u64),
 }
 
-/// What a contact has to tell.
+/// What a subscription has to tell.
 #[derive(Debug)]
-pub enum News {
+pub enum Update {
     /// A list, and what was asked for.
-    List(List, Ask),
+    List(List, Query),
     /// The other side lives, and has nothing new.
     Alive,
     /// Something came that can't be read; what was asked for has not been told.
@@ -108,7 +108,7 @@
 }
 
 /// What a call's task says.
-enum Said {
+enum CallMessage {
     Word,
     List(List, u64),
     Unread(CallError),
@@ -126,23 +126,23 @@
 
 struct Call {
     number: u64,
-    ask: Ask,
+    ask: Query,
     _task: Task,
 }
 
 /// The calls to one address.
-pub struct Contact<'a, D> {
+pub struct Subscription<'a, D> {
     dial: D,
     address: SocketAddr,
-    asking: Asking<'a>,
+    poller: Poller<'a>,
     due: Option<Instant>,
     began: u64,
     /// Calls that have said nothing yet, oldest first.
     out: Vec<Call>,
     /// The watch that spoke last.
     standing: Option<Call>,
-    to: mpsc::Sender<(u64, Said)>,
-    said: mpsc::Receiver<(u64, Said)>,
+    to: mpsc::Sender<(u64, CallMessage)>,
+    said: mpsc::Receiver<(u64, CallMessage)>,
     /// The print of the last list.
     known: Option<u64>,
     last_word: Instant,
@@ -150,15 +150,15 @@
     complained: bool,
 }
 
-impl<'a, D: Dial> Contact<'a, D> {
+impl<'a, D: Dial> Subscription<'a, D> {
     /// Begins with a call at once.
-    pub fn new(dial: D, address: SocketAddr, pacing: &'a Pacing) -> Contact<'a, D> {
+    pub fn new(dial: D, address: SocketAddr, schedule: &'a PollSchedule) -> Subscription<'a, D> {
         let now = Instant::now();
         let (to, said) = mpsc::channel(SAID);
-        Contact {
+        Subscription {
             dial,
             address,
-            asking: pacing.asking(),
+            poller: schedule.poller(),
             due: Some(now),
             began: 0,
             out: Vec::new(),
@@ -173,42 +173,42 @@
     }
 
     /// A call is wanted although a watch stands.
-    pub fn hasten(&mut self) {
-        let due = Instant::now() + self.asking.hastened();
+    pub fn request_soon(&mut self) {
+        let due = Instant::now() + self.poller.soon();
         self.due = Some(self.due.map_or(due, |before| before.min(due)));
     }
 
     /// The same list once more is told again: its source's versions are in doubt.
-    pub fn doubt(&mut self) {
+    pub fn forget_known_list(&mut self) {
         self.known = None;
     }
 
     /// Waits for what is told next, and makes the calls that fall due meanwhile; `ask` says what for. May be dropped at
     /// any point without losing what was told.
-    pub async fn next(&mut self, mut ask: impl FnMut() -> Ask) -> News {
+    pub async fn next(&mut self, mut ask: impl FnMut() -> Query) -> Update {
         loop {
-            let silent_at = (!self.silent).then(|| self.last_word + self.asking.quiet());
+            let silent_at = (!self.silent).then(|| self.last_word + self.poller.quiet());
             tokio::select! {
                 biased;
                 // The sender lives in `self`, so there is always another.
                 Some((number, said)) = self.said.recv() => {
-                    if let Some(news) = self.heed(number, said) {
+                    if let Some(news) = self.on_message(number, said) {
                         return news;
                     }
                 }
                 () = reached(self.due) => self.call(ask()),
                 () = reached(silent_at) => {
                     self.silent = true;
-                    return News::Silent(self.last_word.elapsed());
+                    return Update::Silent(self.last_word.elapsed());
                 }
             }
         }
     }
 
     /// A call is due.
-    fn call(&mut self, ask: Ask) {
+    fn call(&mut self, ask: Query) {
         self.due = None;
-        if !self.asking.renews() && self.standing.is_some() && ask != Ask::Whole {
+        if !self.poller.renews() && self.standing.is_some() && ask != Query::Whole {
             return;
         }
         if self.out.len() >= MOST_OUT {
@@ -217,35 +217,35 @@
         self.began += 1;
         let (number, to) = (self.began, self.to.clone());
         let values = Values::knowing(self.known);
-        let (address, spans) = (self.address, self.asking.spans());
+        let (address, spans) = (self.address, self.poller.spans());
         let call = call(self.dial.clone(), address, ask, spans, values, move |said| {
             let to = to.clone();
-            // The contact that does not listen any more has dropped the task, too.
+            // The subscription that does not listen any more has dropped the task, too.
             async move { _ = to.send((number, said)).await }
         });
         self.out.push(Call { number, ask, _task: Task(spawn_local(call)) });
-        self.due = self.asking.began().map(|pause| Instant::now() + pause);
+        self.due = self.poller.began().map(|pause| Instant::now() + pause);
     }
 
     /// What is made of what a call said.
-    fn heed(&mut self, number: u64, said: Said) -> Option<News> {
+    fn on_message(&mut self, number: u64, said: CallMessage) -> Option<Update> {
         match said {
-            Said::Word => {
+            CallMessage::Word => {
                 self.speaks(number);
-                Some(News::Alive)
+                Some(Update::Alive)
             }
             // Calls that overlap tell the same.
-            Said::List(_, print) if self.known == Some(print) => {
+            CallMessage::List(_, print) if self.known == Some(print) => {
                 self.speaks(number);
-                Some(News::Alive)
+                Some(Update::Alive)
             }
-            Said::List(list, print) => {
+            CallMessage::List(list, print) => {
                 self.known = Some(print);
-                let ask = self.speaks(number).unwrap_or(Ask::Since(0));
-                Some(News::List(list, ask))
+                let ask = self.speaks(number).unwrap_or(Query::Since(0));
+                Some(Update::List(list, ask))
             }
-            Said::Unread(problem) => Some(News::Unread(problem)),
-            Said::Ended { opened, problem } => {
+            CallMessage::Unread(problem) => Some(Update::Unread(problem)),
+            CallMessage::Ended { opened, problem } => {
                 let stood = self.standing.take_if(|call| call.number == number).is_some();
                 self.out.retain(|call| call.number != number);
                 if let Some(problem) = &problem {
@@ -260,21 +260,21 @@
                     self.complained = true;
                 }
                 let end = match problem {
-                    None => End::Well,
-                    Some(CallError::Silent(_)) if opened => End::FellSilent,
-                    Some(_) if opened => End::Broke,
-                    Some(_) => End::NeverOpened,
+                    None => CallEnd::Well,
+                    Some(CallError::Silent(_)) if opened => CallEnd::Stalled,
+                    Some(_) if opened => CallEnd::Broke,
+                    Some(_) => CallEnd::NeverOpened,
                 };
-                if let Some(pause) = self.asking.ended(end) {
+                if let Some(pause) = self.poller.ended(end) {
                     self.due = Some(Instant::now() + pause);
                 }
-                stood.then_some(News::Lost)
+                stood.then_some(Update::Lost)
             }
         }
     }
 
     /// A call speaks: what began before it has nothing to add. Gives what it asked for.
-    fn speaks(&mut self, number: u64) -> Option<Ask> {
+    fn speaks(&mut self, number: u64) -> Option<Query> {
         if std::mem::take(&mut self.silent) {
             log::info!("discovery: {} is back after {:?}", self.address, self.last_word.elapsed());
         }
@@ -287,8 +287,8 @@
         let ask = call.ask;
         match ask {
             // It ends by itself, and says so.
-            Ask::Whole => self.out.insert(0, call),
-            Ask::Since(_) => self.standing = Some(call),
+            Query::Whole => self.out.insert(0, call),
+            Query::Since(_) => self.standing = Some(call),
         }
         Some(ask)
     }
@@ -306,27 +306,27 @@
 async fn call<D: Dial, F: Future<Output = ()>>(
     dial: D,
     address: SocketAddr,
-    ask: Ask,
-    spans: Spans,
+    ask: Query,
+    spans: CallTimeouts,
     values: Values,
-    say: impl Fn(Said) -> F,
+    say: impl Fn(CallMessage) -> F,
 ) {
     let opened = timeout(spans.call, get(dial, address, ask)).await;
     let (response, _guard) = match opened.unwrap_or(Err(CallError::Silent(spans.call))) {
         Ok(opened) => opened,
-        Err(problem) => return say(Said::Ended { opened: false, problem: Some(problem) }).await,
+        Err(problem) => return say(CallMessage::Ended { opened: false, problem: Some(problem) }).await,
     };
     let problem = read(response, ask, spans, values, &say).await.err();
-    say(Said::Ended { opened: true, problem }).await;
+    say(CallMessage::Ended { opened: true, problem }).await;
 }
 
 /// Reads what a call brings, to its end.
 async fn read<F: Future<Output = ()>>(
     response: Response<Incoming>,
-    ask: Ask,
-    spans: Spans,
+    ask: Query,
+    spans: CallTimeouts,
     mut values: Values,
-    say: &impl Fn(Said) -> F,
+    say: &impl Fn(CallMessage) -> F,
 ) -> Result<(), CallError> {
     let mut body = response.into_body();
     let (mut silence, mut begun, mut whole) = (spans.first, None, false);
@@ -336,11 +336,11 @@
         let whole_by = begun.map_or(until, |begun: Instant| begun + spans.call);
         let data = match timeout_at(until.min(whole_by), body.frame()).await {
             Err(_) | Ok(None) if begun.is_some() => {
-                say(Said::Unread(CallError::CutShort)).await;
+                say(CallMessage::Unread(CallError::CutShort)).await;
                 return Err(CallError::CutShort);
             }
             Err(_) => return Err(CallError::Silent(silence)),
-            Ok(None) if ask == Ask::Whole && whole => return Ok(()),
+            Ok(None) if ask == Query::Whole && whole => return Ok(()),
             Ok(None) => return Err(CallError::Closed),
             Ok(Some(frame)) => frame?.into_data().unwrap_or_default(),
         };
@@ -351,19 +351,19 @@
                 Ok(Value::Known) => {
                     whole = true;
                     spoke = true;
-                    say(Said::Word).await;
+                    say(CallMessage::Word).await;
                 }
-                Ok(Value::List(list, _)) if ask == Ask::Whole && !list.all => {
+                Ok(Value::List(list, _)) if ask == Query::Whole && !list.all => {
                     return Err(CallError::NotWhole);
                 }
                 Ok(Value::List(list, print)) => {
                     whole = list.all;
                     spoke = true;
-                    say(Said::List(list, print)).await;
+                    say(CallMessage::List(list, print)).await;
                 }
                 Err(problem) => {
                     let ends = matches!(problem, ValueError::TooLong { .. });
-                    say(Said::Unread(problem.into())).await;
+                    say(CallMessage::Unread(problem.into())).await;
                     if ends {
                         return Err(CallError::CutShort);
                     }
@@ -376,8 +376,8 @@
         }
         begun = None;
         silence = spans.silence;
-        if !spoke && !data.is_empty() && ask != Ask::Whole {
-            say(Said::Word).await;
+        if !spoke && !data.is_empty() && ask != Query::Whole {
+            say(CallMessage::Word).await;
         }
     }
 }
@@ -385,7 +385,7 @@
 async fn get<D: Dial>(
     dial: D,
     address: SocketAddr,
-    ask: Ask,
+    ask: Query,
 ) -> Result<(Response<Incoming>, Task), CallError> {
     let stream = dial.dial(address).await?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
@@ -395,8 +395,8 @@
         }
     }));
     let path = match ask {
-        Ask::Whole => "/api/targets".to_string(),
-        Ask::Since(version) => format!("/api/targets?follow=1&since={version}"),
+        Query::Whole => "/api/targets".to_string(),
+        Query::Since(version) => format!("/api/targets?follow=1&since={version}"),
     };
     let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
--- a/src/contact/tests.rs
+++ b/src/discovery/client/tests.rs
@@ -180,11 +180,11 @@
         if !old_speaks && draw(3) == 0 {
             sleep_until(down + lasts.mul_f64(draw(1000) as f64 / 1000.0)).await;
         }
-        let pacing = Pacing::new(300, seed, false, GRACE);
-        let mut contact = Contact::new(agent.clone(), ([127, 0, 0, 1], 1).into(), &pacing);
+        let schedule = PollSchedule::new(300, seed, false, GRACE);
+        let mut subscription = Subscription::new(agent.clone(), ([127, 0, 0, 1], 1).into(), &schedule);
         loop {
-            match contact.next(|| Ask::Since(1)).await {
-                News::List(list, _) if list.rev == 2 => break,
+            match subscription.next(|| Query::Since(1)).await {
+                Update::List(list, _) if list.rev == 2 => break,
                 _ => assert!(up.elapsed() < Duration::from_secs(30), "{silence:?}, seed {seed}: never heard"),
             }
         }
@@ -252,10 +252,10 @@
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-        let (pacing, began) = (Pacing::new(1, 1, false, GRACE), Instant::now());
-        let mut contact = Contact::new(Slow, ([127, 0, 0, 1], 1).into(), &pacing);
-        let news = contact.next(|| Ask::Since(1)).await;
-        assert!(matches!(&news, News::List(list, _) if list.rev == 2), "{news:?}");
+        let (schedule, began) = (PollSchedule::new(1, 1, false, GRACE), Instant::now());
+        let mut subscription = Subscription::new(Slow, ([127, 0, 0, 1], 1).into(), &schedule);
+        let news = subscription.next(|| Query::Since(1)).await;
+        assert!(matches!(&news, Update::List(list, _) if list.rev == 2), "{news:?}");
         assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
     });
 }
@@ -291,12 +291,12 @@
     for shared in [true, false] {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
         LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-            let pacing = Pacing::new(1, 1, shared, GRACE);
-            let mut contact = Contact::new(Pieces, ([127, 0, 0, 1], 1).into(), &pacing);
+            let schedule = PollSchedule::new(1, 1, shared, GRACE);
+            let mut subscription = Subscription::new(Pieces, ([127, 0, 0, 1], 1).into(), &schedule);
             let (mut told, began) = (0, Instant::now());
             while told < 2 {
-                match contact.next(|| if told == 0 { Ask::Whole } else { Ask::Since(1) }).await {
-                    News::List(list, _) => told = list.rev,
+                match subscription.next(|| if told == 0 { Query::Whole } else { Query::Since(1) }).await {
+                    Update::List(list, _) => told = list.rev,
                     _ => assert!(began.elapsed() < Duration::from_secs(2), "shared: {shared}, at {told}"),
                 }
             }
--- a/src/discovery.rs
+++ b/src/discovery/directory.rs
@@ -1,14 +1,14 @@
 //! Discovery: the whole node list, then a watch on its changes, for as long as the program runs.
 
+use super::client::{Query, Subscription, Tcp, Update};
 use crate::api::*;
 use crate::bans::Bans;
-use crate::contact::{Ask, Contact, News, Tcp};
 use crate::core::Dispatcher;
 use crate::counters::Counters;
+use crate::discovery::schedule::PollSchedule;
 use crate::node::{Nodes, Place};
-use crate::pacing::Pacing;
-use flaxgap_roster::wire::{List, State};
-use flaxgap_roster::{Change, Roster, Source};
+use flaxgap_membership::wire::{List, State};
+use flaxgap_membership::{Change, Membership, Source};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -37,13 +37,13 @@
     counters: Rc<Counters>,
     bans: Rc<Bans>,
     /// Which word on a node stands.
-    roster: RefCell<Roster>,
+    membership: RefCell<Membership>,
     names: RefCell<HashMap<String, Listed>>,
     named: Cell<u64>,
     zones: RefCell<Vec<String>>,
     /// Turns true with the first list that discovery itself gives.
     heard: watch::Sender<bool>,
-    pacing: Pacing,
+    schedule: PollSchedule,
     /// When a list last told something, and when its source last said a word.
     changed: Cell<Instant>,
     last_word: Cell<Instant>,
@@ -57,23 +57,23 @@
         counters: Rc<Counters>,
         bans: Rc<Bans>,
         zones: Vec<String>,
-        pacing: Pacing,
+        schedule: PollSchedule,
     ) -> Rc<Directory> {
         let heard = watch::Sender::new(false);
         let (named, zones) = (Cell::new(0), RefCell::new(zones));
-        let (roster, names) = (RefCell::default(), RefCell::default());
+        let (membership, names) = (RefCell::default(), RefCell::default());
         let (changed, last_word) = (Cell::new(Instant::now()), Cell::new(Instant::now()));
         Rc::new(Directory {
             dispatcher,
             nodes,
             counters,
             bans,
-            roster,
+            membership,
             names,
             named,
             zones,
             heard,
-            pacing,
+            schedule,
             changed,
             last_word,
         })
@@ -87,7 +87,7 @@
 
     /// How long a start with the list of an earlier life waits for discovery.
     pub fn start_patience(&self) -> Duration {
-        self.pacing.start()
+        self.schedule.start()
     }
 
     /// How many nodes are on the list, and how many of them get no work; for how many seconds the list has stood as it is,
@@ -106,7 +106,7 @@
 
     /// Takes a node out by hand, or calls it back; false for one that was never listed.
     pub fn ban(&self, name: &str, out: bool) -> io::Result<bool> {
-        let known = self.roster.borrow().knows(name) || self.bans.names().iter().any(|n| n == name);
+        let known = self.membership.borrow().knows(name) || self.bans.names().iter().any(|n| n == name);
         if known {
             self.bans.set(name, out, self.dispatcher.clock().now())?;
             log::info!("discovery: {name}: {} by hand", if out { "out" } else { "back" });
@@ -143,7 +143,7 @@
     pub fn apply(&self, list: List, source: &mut Source, kind: ListKind) {
         let first = kind == ListKind::Cached || !*self.heard.borrow();
         if list.entries.is_empty() && list.unread.is_empty() && !list.all && !first {
-            self.roster.borrow_mut().take(list, source, self.dispatcher.clock().now());
+            self.membership.borrow_mut().take(list, source, self.dispatcher.clock().now());
             return;
         }
         self.counters.list_changes.add();
@@ -155,7 +155,7 @@
             log::warn!("discovery: version {}, {} more can't be read", list.rev, list.unread.len() - LOGGED);
         }
         list.unread.iter().for_each(|_| self.counters.bad_input.add());
-        let changes = self.roster.borrow_mut().take(list, source, self.dispatcher.clock().now());
+        let changes = self.membership.borrow_mut().take(list, source, self.dispatcher.clock().now());
         let entries: Vec<NodeInfo> = changes.into_iter().flat_map(|change| self.change(change)).collect();
         self.dispatcher.tell(&[Event::Nodes { kind, nodes: entries }]);
         self.heard.send_if_modified(|heard| kind != ListKind::Cached && !std::mem::replace(heard, true));
@@ -206,9 +206,9 @@
     /// or, where none is, from the first whole list that is given.
     pub async fn follow(&self, mut source: watch::Receiver<SocketAddr>, known: bool) {
         if known {
-            sleep(self.pacing.first()).await;
+            sleep(self.schedule.first()).await;
         }
-        let mut told = if known { Source::at(self.roster.borrow().version()) } else { Source::default() };
+        let mut told = if known { Source::at(self.membership.borrow().version()) } else { Source::default() };
         let mut whole = Whole::wanted(!known);
         loop {
             let address = *source.borrow_and_update();
@@ -217,7 +217,7 @@
                 () = self.moved(&mut source) => {}
                 () = self.keep(address, told, whole, |_| false) => {}
             }
-            (told, whole) = (Source::at(self.roster.borrow().version()), Whole::wanted(false));
+            (told, whole) = (Source::at(self.membership.borrow().version()), Whole::wanted(false));
         }
     }
 
@@ -237,7 +237,7 @@
                 biased;
                 _ = source.changed() => {}
                 () = self.keep(address, Source::default(), Whole::wanted(true), caught_up) => {
-                    let version = self.roster.borrow().version();
+                    let version = self.membership.borrow().version();
                     return log::info!("discovery: now at {address}, version {version}");
                 }
             }
@@ -252,24 +252,25 @@
         whole: Whole,
         enough: impl Fn(&Source) -> bool,
     ) {
-        let mut contact = Contact::new(Tcp, address, &self.pacing);
+        let mut subscription = Subscription::new(Tcp, address, &self.schedule);
         let mut behind = false;
         loop {
             let anew = told.counts_anew(self.dispatcher.clock().now());
             let cursor = told.cursor();
-            let news =
-                contact.next(|| if anew || whole.take() { Ask::Whole } else { Ask::Since(cursor) }).await;
-            if matches!(news, News::List(..) | News::Alive) {
+            let news = subscription
+                .next(|| if anew || whole.take() { Query::Whole } else { Query::Since(cursor) })
+                .await;
+            if matches!(news, Update::List(..) | Update::Alive) {
                 self.last_word.set(Instant::now());
             }
             match news {
-                News::List(list, ask) => {
-                    if ask == Ask::Whole {
+                Update::List(list, ask) => {
+                    if ask == Query::Whole {
                         whole.told();
                     }
                     if !list.entries.is_empty() || list.rev != cursor {
                         let kind = match (ask, list.all) {
-                            (Ask::Whole, _) => "asked for",
+                            (Query::Whole, _) => "asked for",
                             (_, true) => "whole",
                             (_, false) => "changes",
                         };
@@ -277,33 +278,33 @@
                     }
                     self.apply(list, &mut told, ListKind::Changes);
                     if !std::mem::replace(&mut behind, told.is_behind()) && behind {
-                        let (version, known) = (told.cursor(), self.roster.borrow().version());
+                        let (version, known) = (told.cursor(), self.membership.borrow().version());
                         log::warn!("discovery: {address} is at version {version}, behind {known}");
                     }
                     if !whole.is_wanted() && enough(&told) {
                         return;
                     }
                 }
-                News::Alive => {}
-                News::Unread(problem) => {
+                Update::Alive => {}
+                Update::Unread(problem) => {
                     log::warn!("discovery: passed over: {problem}");
                     self.counters.bad_input.add();
                     whole.lost();
-                    contact.hasten();
+                    subscription.request_soon();
                 }
-                News::Lost => self.counters.watches_lost.add(),
-                News::Silent(span) => {
-                    let (version, age) = (self.roster.borrow().version(), self.changed.get().elapsed());
+                Update::Lost => self.counters.watches_lost.add(),
+                Update::Silent(span) => {
+                    let (version, age) = (self.membership.borrow().version(), self.changed.get().elapsed());
                     log::warn!(
                         "discovery: {address} silent for {span:?}; the list is at version {version}, told {age:?} ago"
                     );
                 }
             }
             if told.is_behind() {
-                contact.doubt();
+                subscription.forget_known_list();
             }
             if told.counts_anew(self.dispatcher.clock().now()) {
-                contact.hasten();
+                subscription.request_soon();
             }
         }
     }
--- /dev/null
+++ b/src/discovery/mod.rs
@@ -0,0 +1,9 @@
+//! Discovery: where the node list comes from and how the head keeps up with it. [`client`] makes the calls,
+//! [`schedule`] decides when they are due, and [`directory`] turns what they bring into the nodes that the
+//! decision module and the transport know.
+
+pub mod client;
+pub mod directory;
+pub mod schedule;
+
+pub use directory::Directory;
--- a/src/pacing.rs
+++ b/src/discovery/schedule.rs
@@ -43,7 +43,7 @@
 const LEAST: f64 = 0.1;
 
 /// How this head's calls fit among those of its fleet.
-pub struct Pacing {
+pub struct PollSchedule {
     /// How many times the fleet is larger than a small one, 1 at least.
     fleet: f64,
     shared: bool,
@@ -52,20 +52,20 @@
     chance: Cell<u64>,
 }
 
-impl Pacing {
+impl PollSchedule {
     /// For one of `hosts` heads, with a seed of its own; `grace` is how long after it is told a node that leaves may
     /// still be sent to. `shared` is set where one service of fixed capacity answers
     /// them all; an agent of the head's own, to which changes are pushed, bears every call of that head, and
-    /// what it holds counts as told: to wait before asking it is to use a list that is known to be old.
-    pub fn new(hosts: u32, seed: u64, shared: bool, grace: Duration) -> Pacing {
+    /// what it holds counts as told: to wait before poller it is to use a list that is known to be old.
+    pub fn new(hosts: u32, seed: u64, shared: bool, grace: Duration) -> PollSchedule {
         let fleet = if shared { (f64::from(hosts) / f64::from(SMALL_FLEET)).max(1.0) } else { 1.0 };
         let every = (grace / IN_GRACE).clamp(LEAST_EVERY, MOST_EVERY);
-        Pacing { fleet, shared, every, chance: Cell::new(seed | 1) }
+        PollSchedule { fleet, shared, every, chance: Cell::new(seed | 1) }
     }
 
     /// When one address is asked, from its first call on.
-    pub fn asking(&self) -> Asking<'_> {
-        Asking { pacing: self, back_off: self.back_off() }
+    pub fn poller(&self) -> Poller<'_> {
+        Poller { schedule: self, backoff: self.backoff() }
     }
 
     /// How long a call for the list may take.
@@ -88,10 +88,10 @@
     }
 
     /// Pauses between tries at one thing, from the shortest on.
-    pub fn back_off(&self) -> BackOff<'_> {
-        let mut back_off = BackOff { pacing: self, next: Duration::ZERO };
-        back_off.restart();
-        back_off
+    pub fn backoff(&self) -> Backoff<'_> {
+        let mut backoff = Backoff { schedule: self, next: Duration::ZERO };
+        backoff.restart();
+        backoff
     }
 
     /// A number in [0, 1) by chance (xorshift).
@@ -107,7 +107,7 @@
 
 /// How long a call may take at its stages.
 #[derive(Clone, Copy, Debug)]
-pub struct Spans {
+pub struct CallTimeouts {
     /// Until it opens, and for one list from its first byte to its last.
     pub call: Duration,
     /// From opening to the first word.
@@ -118,11 +118,11 @@
 
 /// How a call came to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub enum CallEnd {
     /// It brought what it was made for.
     Well,
     /// It opened, and then nothing came in time.
-    FellSilent,
+    Stalled,
     /// It opened, and broke.
     Broke,
     /// It never opened.
@@ -132,61 +132,61 @@
 /// The one place that decides when the list is asked for. An agent of the head's own is asked at an even pace, however
 /// its calls end and whether a watch stands: that costs nothing there, and bounds how late any news is. A shared
 /// service is asked once at a time, with pauses that spread a fleet's calls and grow while they fail.
-pub struct Asking<'a> {
-    pacing: &'a Pacing,
-    back_off: BackOff<'a>,
+pub struct Poller<'a> {
+    schedule: &'a PollSchedule,
+    backoff: Backoff<'a>,
 }
 
-impl Asking<'_> {
+impl Poller<'_> {
     /// Whether a watch is opened anew while one stands.
     pub fn renews(&self) -> bool {
-        !self.pacing.shared
+        !self.schedule.shared
     }
 
     /// How long calls may take.
-    pub fn spans(&self) -> Spans {
-        let silence = if self.pacing.shared { SILENCE } else { LONGEST_SILENCE };
-        Spans { call: self.pacing.call(), first: SILENCE, silence }
+    pub fn spans(&self) -> CallTimeouts {
+        let silence = if self.schedule.shared { SILENCE } else { LONGEST_SILENCE };
+        CallTimeouts { call: self.schedule.call(), first: SILENCE, silence }
     }
 
     /// After how long without a word the other side is silent.
     pub fn quiet(&self) -> Duration {
-        if self.pacing.shared { SILENCE } else { QUIET }
+        if self.schedule.shared { SILENCE } else { QUIET }
     }
 
     /// A call has begun: when the next one does, whatever comes of it.
     pub fn began(&self) -> Option<Duration> {
-        self.renews().then_some(self.pacing.every)
+        self.renews().then_some(self.schedule.every)
     }
 
     /// A call has ended: when the next one begins, if that depends on it.
-    pub fn ended(&mut self, end: End) -> Option<Duration> {
+    pub fn ended(&mut self, end: CallEnd) -> Option<Duration> {
         match end {
-            End::Well => return (!self.renews()).then_some(Duration::ZERO),
-            End::FellSilent => self.back_off.restart_late(),
-            End::Broke => self.back_off.restart(),
-            End::NeverOpened => {}
+            CallEnd::Well => return (!self.renews()).then_some(Duration::ZERO),
+            CallEnd::Stalled => self.backoff.restart_late(),
+            CallEnd::Broke => self.backoff.restart(),
+            CallEnd::NeverOpened => {}
         }
-        (!self.renews()).then(|| self.back_off.pause())
+        (!self.renews()).then(|| self.backoff.pause())
     }
 
     /// How long a call waits that is wanted although a watch stands.
-    pub fn hastened(&mut self) -> Duration {
-        if self.renews() { self.pacing.every } else { self.back_off.pause() }
+    pub fn soon(&mut self) -> Duration {
+        if self.renews() { self.schedule.every } else { self.backoff.pause() }
     }
 }
 
 /// Pauses between tries at one thing: each drawn from a span up to twice as long as the one before, so that heads
 /// that lost it together do not come back together.
-pub struct BackOff<'a> {
-    pacing: &'a Pacing,
+pub struct Backoff<'a> {
+    schedule: &'a PollSchedule,
     next: Duration,
 }
 
-impl BackOff<'_> {
+impl Backoff<'_> {
     /// The next pause is a first one again.
     pub fn restart(&mut self) {
-        self.next = if self.pacing.fleet > 1.0 { self.pacing.spread() } else { FIRST_PAUSE };
+        self.next = if self.schedule.fleet > 1.0 { self.schedule.spread() } else { FIRST_PAUSE };
     }
 
     /// After a watch that stayed silent: all that time was lost already, and no head noticed at the same moment.
@@ -197,7 +197,7 @@
 
     /// The next pause.
     pub fn pause(&mut self) -> Duration {
-        let (fleet, draw) = (self.pacing.fleet, self.pacing.draw());
+        let (fleet, draw) = (self.schedule.fleet, self.schedule.draw());
         let (part, longest) = match fleet > 1.0 {
             true => (LEAST + (1.0 - LEAST) * draw, FLEET_LONGEST.mul_f64(fleet)),
             false => (0.5 + draw, LONGEST_PAUSE),
--- a/src/pacing/tests.rs
+++ b/src/discovery/schedule/tests.rs
@@ -4,24 +4,24 @@
 
 const GRACE: Duration = Duration::from_millis(250);
 
-fn heads(hosts: u32, seed: u64) -> Vec<Pacing> {
+fn heads(hosts: u32, seed: u64) -> Vec<PollSchedule> {
     let seeds = (1..=u64::from(hosts)).map(|head| head.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ seed);
-    seeds.map(|seed| Pacing::new(hosts, seed, true, GRACE)).collect()
+    seeds.map(|seed| PollSchedule::new(hosts, seed, true, GRACE)).collect()
 }
 
 /// Plays one service that takes calls in turn, `each` seconds of work apiece, and fails those that have waited
 /// 1.9 s, against a fleet that lost its watches at 0. Gives when each head was told and how often it called.
-fn told(pacing: &[Pacing], each: f64) -> Vec<(f64, u32)> {
-    let mut back_offs: Vec<_> = pacing.iter().map(Pacing::back_off).collect();
+fn told(schedule: &[PollSchedule], each: f64) -> Vec<(f64, u32)> {
+    let mut backoffs: Vec<_> = schedule.iter().map(PollSchedule::backoff).collect();
     let mut calls: Vec<(f64, usize)> = Vec::new();
-    calls.extend(pacing.iter().enumerate().map(|(head, pacing)| (pacing.first().as_secs_f64(), head)));
-    let (mut free, mut done) = (0.0f64, vec![(f64::INFINITY, 0); pacing.len()]);
+    calls.extend(schedule.iter().enumerate().map(|(head, schedule)| (schedule.first().as_secs_f64(), head)));
+    let (mut free, mut done) = (0.0f64, vec![(f64::INFINITY, 0); schedule.len()]);
     while !calls.is_empty() {
         let soonest = (0..calls.len()).min_by(|a, b| calls[*a].0.total_cmp(&calls[*b].0)).unwrap();
         let (at, head) = calls.swap_remove(soonest);
         done[head].1 += 1;
         if free - at > 1.9 {
-            calls.push((at + 1.9 + back_offs[head].pause().as_secs_f64(), head));
+            calls.push((at + 1.9 + backoffs[head].pause().as_secs_f64(), head));
         } else {
             free = free.max(at) + each;
             done[head].0 = free;
@@ -50,14 +50,14 @@
 /// holds a drain that counts as told, and the head sends to the node for up to 4 s more.
 #[test]
 fn an_agent_of_the_heads_own_is_asked_at_once_however_large_the_fleet() {
-    let pacing = Pacing::new(300, 5, false, GRACE);
-    assert_eq!((pacing.first(), pacing.call()), (Duration::ZERO, CALL));
-    let mut asking = pacing.asking();
-    for end in [End::NeverOpened, End::Broke, End::FellSilent] {
-        assert_eq!(asking.ended(end), None, "the pace does not change");
-        assert_eq!(asking.began(), Some(GRACE / 4));
+    let schedule = PollSchedule::new(300, 5, false, GRACE);
+    assert_eq!((schedule.first(), schedule.call()), (Duration::ZERO, CALL));
+    let mut poller = schedule.poller();
+    for end in [CallEnd::NeverOpened, CallEnd::Broke, CallEnd::Stalled] {
+        assert_eq!(poller.ended(end), None, "the pace does not change");
+        assert_eq!(poller.began(), Some(GRACE / 4));
     }
-    let every = |millis| Pacing::new(300, 5, false, Duration::from_millis(millis)).asking().began();
+    let every = |millis| PollSchedule::new(300, 5, false, Duration::from_millis(millis)).poller().began();
     assert_eq!(every(0), Some(LEAST_EVERY), "no agent is hammered");
     assert_eq!(every(2000), Some(MOST_EVERY));
 }
@@ -69,19 +69,19 @@
 fn a_silent_watch_is_made_up_for_before_a_change_counts_as_told() {
     let told = Duration::from_millis(6250);
     for seed in 1..1000u64 {
-        let one = Pacing::new(1024, seed.wrapping_mul(0x9E37_79B9_7F4A_7C15), true, GRACE);
-        let mut asking = one.asking();
-        let pause = asking.ended(End::FellSilent).expect("a pause");
-        assert!(asking.spans().silence + pause + Duration::from_secs(1) <= told, "{seed}");
+        let one = PollSchedule::new(1024, seed.wrapping_mul(0x9E37_79B9_7F4A_7C15), true, GRACE);
+        let mut poller = one.poller();
+        let pause = poller.ended(CallEnd::Stalled).expect("a pause");
+        assert!(poller.spans().silence + pause + Duration::from_secs(1) <= told, "{seed}");
     }
 }
 
 /// Guards against a fleet that comes back to discovery all at once, or so often that it never catches up.
 #[test]
 fn the_pauses_of_a_fleet_differ_and_grow_until_its_calls_are_few() {
-    let pauses = |pacing: &Pacing| {
-        let mut back_off = pacing.back_off();
-        (0..8).map(|_| back_off.pause().as_secs_f64()).collect::<Vec<_>>()
+    let pauses = |schedule: &PollSchedule| {
+        let mut backoff = schedule.backoff();
+        (0..8).map(|_| backoff.pause().as_secs_f64()).collect::<Vec<_>>()
     };
     let heads: Vec<_> = heads(48, 0).iter().map(pauses).collect();
     assert!(heads.iter().all(|p| p[0] >= 0.4 && p[0] <= 4.0 && p.iter().all(|pause| *pause <= 12.0)));
@@ -89,7 +89,7 @@
     assert!((4.0..10.0).contains(&calls), "{calls} a second");
     let early = heads.iter().filter(|p| p[0] < 2.2).count();
     assert!((10..38).contains(&early), "{early} of 48 in the first half");
-    let few = pauses(&Pacing::new(8, 5, true, GRACE));
+    let few = pauses(&PollSchedule::new(8, 5, true, GRACE));
     assert!(few.iter().all(|pause| (0.02..1.5).contains(pause)), "a few heads need not wait");
-    assert_eq!(Pacing::new(8, 5, true, GRACE).first(), Duration::ZERO);
+    assert_eq!(PollSchedule::new(8, 5, true, GRACE).first(), Duration::ZERO);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,6 @@
 pub mod api;
 pub mod bans;
 pub mod config;
-pub mod contact;
 pub mod content;
 pub mod core;
 pub mod counters;
@@ -86,7 +85,6 @@
 pub mod monitor;
 pub mod node;
 pub mod ops;
-pub mod pacing;
 pub mod phases;
 pub mod plugin;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //! fair queue in `pick`, the weights in `adapt` and the window in `Lane::learn`; the rest are guards.
 
 use crate::api::*;
-use flaxgap_warming::{Pace, Warming};
+use flaxgap_slow_start::{Pace, SlowStart};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Length of a sampling tick, s; the paper's 5 s is slower than the surges are long.
@@ -186,13 +186,13 @@
     latency: Vec<f64>,
     failures: u32,
     closed_until: f64,
-    warming: Warming,
+    ramp: SlowStart,
 }
 
 impl Lane {
-    fn new(classes: usize, warming: Warming) -> Lane {
+    fn new(classes: usize, ramp: SlowStart) -> Lane {
         let (queues, finish, latency) = (vec![Vec::new(); classes], vec![0.0; classes], vec![0.0; classes]);
-        Lane { queues, finish, latency, warming, window: WINDOW_START, ..Lane::default() }
+        Lane { queues, finish, latency, ramp, window: WINDOW_START, ..Lane::default() }
     }
 
     /// Follows the list: the node started last among the ready ones; a new one is learnt afresh.
@@ -202,9 +202,8 @@
         let key = |n: &Option<NodeInfo>| n.as_ref().map(|n| (n.node, n.since));
         if key(&best) != key(&self.target) {
             let (queues, nodes) = (std::mem::take(&mut self.queues), std::mem::take(&mut self.nodes));
-            self.warming.started(now);
-            *self =
-                Lane { queues, nodes, epoch: self.epoch + 1, ..Lane::new(self.finish.len(), self.warming) };
+            self.ramp.started(now);
+            *self = Lane { queues, nodes, epoch: self.epoch + 1, ..Lane::new(self.finish.len(), self.ramp) };
         }
         self.target = best;
     }
@@ -246,7 +245,7 @@
         self.closed_until = now + (BACKOFF.0 * f64::from(1 << self.failures.min(6))).min(BACKOFF.1);
         self.failures += 1;
         self.window = (self.window / 2.0).max(WINDOW_MIN);
-        self.warming.failed();
+        self.ramp.failed();
     }
 }
 
@@ -407,8 +406,8 @@
     }
 
     fn lane(&mut self, shard: ShardId) -> &mut Lane {
-        let (classes, warming) = (self.set.classes.len(), Warming::new(self.set.cold.warm_within, self.now));
-        self.lanes.entry(shard).or_insert_with(|| Lane::new(classes, warming))
+        let (classes, ramp) = (self.set.classes.len(), SlowStart::new(self.set.cold.warm_within, self.now));
+        self.lanes.entry(shard).or_insert_with(|| Lane::new(classes, ramp))
     }
 
     /// New objects held before a node that went away go to another.
@@ -461,7 +460,7 @@
         self.enqueue(id);
         if reserved {
             let (shard, now) = (self.held[&id].lane, self.now);
-            self.lane(shard).warming.due(now, units);
+            self.lane(shard).ramp.due(now, units);
         }
     }
 
@@ -715,8 +714,8 @@
                 Outcome::Ok | Outcome::Error => {
                     (lane.heard, lane.failures) = (now, 0);
                     lane.out.iter_mut().filter(|o| o.at < sent_at).for_each(|o| o.passed += 1);
-                    lane.warming.due(now, undue);
-                    lane.warming.answered(match elapsed / self.tightest {
+                    lane.ramp.due(now, undue);
+                    lane.ramp.answered(match elapsed / self.tightest {
                         quick if quick < PRESSED => Pace::Quick,
                         slow if slow > 1.0 => Pace::Slow,
                         _ => Pace::Fair,
@@ -762,7 +761,7 @@
     fn cold_rate(&self, lane: &Lane) -> Option<f64> {
         let age = self.now - lane.target.as_ref().filter(|t| t.since > 0.0)?.since;
         let slow = lane.latency_now(self.now, self.weather) > self.tightest;
-        lane.warming.rate(&self.set.cold, (f64::from(self.set.hosts), self.part.0), self.now, age, slow)
+        lane.ramp.rate(&self.set.cold, (f64::from(self.set.hosts), self.part.0), self.now, age, slow)
     }
 
     /// Calls off an attempt that is overdue for its size while its node answered later ones: its connection
@@ -845,7 +844,7 @@
         }
         if let Some(rate) = self.cold_rate(lane) {
             let (draw, size) = (held.draw, (units, held.reserved));
-            let wait = self.lanes.get_mut(&shard)?.warming.wait(&self.set.cold, rate, now, size, draw);
+            let wait = self.lanes.get_mut(&shard)?.ramp.wait(&self.set.cold, rate, now, size, draw);
             if wait > 0.0 {
                 self.blocked_until = self.blocked_until.min(now + wait.max(tick));
                 return None;
@@ -910,7 +909,7 @@
             *tag = start + units / plan_weight;
             lane.volume_time = start;
         }
-        lane.warming.sent(units);
+        lane.ramp.sent(units);
         lane.out.push(Out { at: now, id, passed: 0 });
         lane.was_full |= lane.out.len() >= lane.window as usize;
         let (first, taken) = (held.attempts.is_empty(), held.taken());
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,8 +8,8 @@
 use crate::core::{Envelope, Late, Permit, Reply, Transport, Verb, Written, seconds};
 use crate::counters::Counters;
 use crate::descriptors::{Budget, Side, Slot};
+use crate::discovery::schedule;
 use crate::memory::{self, Gathered, Memory};
-use crate::pacing;
 use bytes::Bytes;
 use futures_core::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -116,7 +116,7 @@
             log::info!("node: nothing new to node {} ({stage:?}): {news}", self.node.0);
             return Err(Withheld::Node);
         }
-        // Nothing is lost by asking the rest once, when it counts.
+        // Nothing is lost by poller the rest once, when it counts.
         if stage == Stage::FirstByte {
             self.in_time(stage)?;
         }
@@ -451,7 +451,7 @@
         conn_idle: f64,
         hosts: u32,
     ) -> Rc<Nodes> {
-        let most = if hosts > pacing::SMALL_FLEET { f64::INFINITY } else { IDLE_MOST };
+        let most = if hosts > schedule::SMALL_FLEET { f64::INFINITY } else { IDLE_MOST };
         let (connect_timeout, idle_for) =
             (seconds(connect_timeout), seconds((conn_idle * IDLE_PART).min(most)));
         let pools = Rc::default();
