Bound the interval between calls to a shared discovery server, so 6 s hold for any fleet

Cause: where one server answers the whole fleet, the delays between failed calls grew to 2 s times heads / 8, 1,050 s at 4,200 heads, on top of a call's own timeout. A server that was silent, refused or closed for some seconds was called again long after its return.

Change: in a fleet of more than eight heads a call sets the latest beginning of the next one, 4.46 to 5.25 s on, whatever becomes of it; delays after a failure are cut to that, and grow no further. A watch that ends before that time has not stood, and its delays go on growing. The Poller reads the clock for this. Agents of a head's own and fleets of up to eight heads are polled as before. Comments and private names of the module are in the field's words.

--- a/src/discovery/schedule.rs
+++ b/src/discovery/schedule.rs
@@ -1,127 +1,146 @@
-//! When a head may call a service that the whole fleet shares. Every head decides alone, from the number of heads
-//! and from chance; what adds up over the fleet is kept under what one service bears. No clock, no sockets: time
-//! spans come out, and whoever asks waits.
+//! When a head polls discovery, which the whole fleet may share. Every head decides alone, from the number of heads
+//! and a random seed, so that the fleet's calls together stay within the capacity of one server. No sockets and no
+//! timers: durations come out and the caller waits. The clock is read in one place, to bound the time from one call
+//! to the next.
 
 use std::cell::Cell;
 use std::time::Duration;
+use tokio::time::Instant;
 
-/// Up to so many heads a service is taken to bear all of them at once.
+/// A server is taken to bear the calls of so many heads at once.
 pub const SMALL_FLEET: u32 = 8;
-/// First and longest pause between two tries in a small fleet.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// Over how long a larger fleet spreads calls that fall due together, for each time that it holds a small one.
+/// First and longest delay between two attempts in a small fleet.
+const FIRST_DELAY: Duration = Duration::from_millis(50);
+const MAX_DELAY: Duration = Duration::from_secs(1);
+/// A larger fleet spreads calls that fall due together over this, times the ratio of its size to a small fleet's.
 const SPREAD: Duration = Duration::from_secs(1);
-/// But no longer than this: what discovery has to tell counts as told 6 s later, asked for or not, and a call may
-/// wait 2 s there for its turn.
-const LATEST: Duration = Duration::from_secs(4);
-/// How long a call for the list may take. Where many heads ask, calls wait in turn: one that is given up early has only
-/// made the queue longer.
+/// But over no more than this: a change counts as told 6 s after discovery has it, and a call may wait 2 s of
+/// these for its turn.
+const MAX_SPREAD: Duration = Duration::from_secs(4);
+/// Timeout of a call for the list. Where many heads call, calls queue at the server, and one that is given up early
+/// has only made the queue longer.
 const CALL: Duration = Duration::from_secs(1);
-const LONGEST_CALL: Duration = Duration::from_secs(4);
-/// A watch on a shared service that stays silent this long is dead: an empty line is due every 2 s.
+const MAX_CALL: Duration = Duration::from_secs(4);
+/// A watch on a shared server that stays silent this long is dead: a heartbeat is due every 2 s.
 const SILENCE: Duration = Duration::from_secs(3);
-/// An agent of the head's own is asked so many times within the settings' grace for nodes that leave: what it holds
-/// counts as told at once, and the grace has to cover the time to the next call, the call, and what is about to be sent.
-const IN_GRACE: u32 = 4;
-/// But no more often than this, nor more seldom.
+/// An agent of the head's own is polled so many times within the settings' grace for nodes that leave: what it holds
+/// counts as told at once, and the grace has to cover the time to the next call, the call, and attempts in progress.
+const POLLS_IN_GRACE: u32 = 4;
+/// Bounds of that polling interval.
 const LEAST_EVERY: Duration = Duration::from_millis(25);
 const MOST_EVERY: Duration = Duration::from_millis(500);
-/// An own agent that says nothing to calls for so long is reported as silent.
-const QUIET: Duration = Duration::from_secs(1);
+/// An own agent that has answered no call for so long is reported as silent.
+const AGENT_SILENCE: Duration = Duration::from_secs(1);
 /// A watch on an own agent that is silent is kept until another speaks, since it may be the first to; it ends here.
-const LONGEST_SILENCE: Duration = Duration::from_secs(60);
-/// How long a head that starts waits for discovery before the list of an earlier life has to do. A volume's clients
-/// have only its heads, and a service that all share may be overbooked for long. An agent of the head's own answers
-/// at once unless it is cut off, and what it holds counts as told from the first request on: two calls may fail.
-const OVERBOOKED: Duration = Duration::from_millis(150);
-const OWN_AGENT: Duration = Duration::from_millis(2500);
-/// Longest pause of a larger fleet, for each time that it holds a small one: a service that is behind catches up
-/// only once its calls are fewer than it can do.
-const FLEET_LONGEST: Duration = Duration::from_secs(2);
-/// Least part of a span that a pause of a larger fleet takes, so that no head calls again at once.
-const LEAST: f64 = 0.1;
-
-/// How this head's calls fit among those of its fleet.
+const MAX_AGENT_SILENCE: Duration = Duration::from_secs(60);
+/// How long a head that starts with a cached list waits for discovery. A volume's clients have only its heads, and a
+/// shared server may be overloaded for long. An agent of the head's own answers at once unless it is cut off, and what
+/// it holds counts as told from the first request on: two calls may fail.
+const START_WAIT_SHARED: Duration = Duration::from_millis(150);
+const START_WAIT_AGENT: Duration = Duration::from_millis(2500);
+/// Longest interval from the beginning of one call to that of the next in a larger fleet, whatever came of the first.
+/// A change counts as told 6 s after the server has it and can be reached; the rest of that is for the answer. A call
+/// that began right before the server's return may never be answered.
+const MAX_INTERVAL: Duration = Duration::from_millis(5250);
+/// The same times the ratio of the fleet's size to a small fleet's, where that is less.
+const INTERVAL: Duration = Duration::from_secs(2);
+/// Random part of a delay or interval of a larger fleet: of one that still grows, so that no head calls again at
+/// once and those that failed together come back spread; and of the longest, which keeps the calls few.
+const GROWING_PART: f64 = 0.1;
+const LONGEST_PART: f64 = 0.85;
+
+/// One head's share of the polling that its fleet does.
 pub struct PollSchedule {
-    /// How many times the fleet is larger than a small one, 1 at least.
+    /// Ratio of the fleet's size to a small fleet's, 1 at least.
     fleet: f64,
+    /// One server of fixed capacity serves the whole fleet.
     shared: bool,
-    /// How often an agent of the head's own is asked.
+    /// Polling interval of an agent of the head's own.
     every: Duration,
-    chance: Cell<u64>,
+    /// State of the random numbers.
+    random: Cell<u64>,
 }
 
 impl PollSchedule {
-    /// For one of `hosts` heads, with a seed of its own; `grace` is how long after it is told a node that leaves may
-    /// still be sent to. `shared` is set where one service of fixed capacity answers
-    /// them all; an agent of the head's own, to which changes are pushed, bears every call of that head, and
-    /// what it holds counts as told: to wait before poller it is to use a list that is known to be old.
+    /// For one of `hosts` heads, with a seed of its own; `grace` is how long a node that leaves may still be sent to
+    /// after the change was told. `shared` is set where one server of fixed capacity answers all heads; an agent of
+    /// the head's own, to which changes are pushed, bears every call of that head, and what it holds counts as told:
+    /// a delay before a call to it would mean to use a list that is known to be old.
     pub fn new(hosts: u32, seed: u64, shared: bool, grace: Duration) -> PollSchedule {
         let fleet = if shared { (f64::from(hosts) / f64::from(SMALL_FLEET)).max(1.0) } else { 1.0 };
-        let every = (grace / IN_GRACE).clamp(LEAST_EVERY, MOST_EVERY);
-        PollSchedule { fleet, shared, every, chance: Cell::new(seed | 1) }
+        let every = (grace / POLLS_IN_GRACE).clamp(LEAST_EVERY, MOST_EVERY);
+        PollSchedule { fleet, shared, every, random: Cell::new(seed | 1) }
     }
 
-    /// When one address is asked, from its first call on.
+    /// Decides when one address is polled, from its first call on.
     pub fn poller(&self) -> Poller<'_> {
-        Poller { schedule: self, backoff: self.backoff() }
+        Poller { schedule: self, backoff: self.backoff(), next_by: None }
     }
 
-    /// How long a call for the list may take.
+    /// Timeout of a call for the list.
     pub fn call(&self) -> Duration {
-        CALL.mul_f64(self.fleet).min(LONGEST_CALL)
+        CALL.mul_f64(self.fleet).min(MAX_CALL)
     }
 
-    /// How long news of the list are waited for at a start with the list of an earlier life.
+    /// How long a start with a cached list waits for the current one.
     pub fn start(&self) -> Duration {
-        if self.shared { OVERBOOKED } else { OWN_AGENT }
+        if self.shared { START_WAIT_SHARED } else { START_WAIT_AGENT }
     }
 
     fn spread(&self) -> Duration {
-        SPREAD.mul_f64(self.fleet).min(LATEST)
+        SPREAD.mul_f64(self.fleet).min(MAX_SPREAD)
+    }
+
+    /// Longest interval between the beginnings of two calls, and longest delay.
+    fn interval(&self) -> Duration {
+        INTERVAL.mul_f64(self.fleet).min(MAX_INTERVAL)
+    }
+
+    /// Whether the fleet is too large for its heads to call a shared server at any time.
+    fn is_large(&self) -> bool {
+        self.fleet > 1.0
     }
 
-    /// Before a first call that all heads may make together; none in a small fleet.
+    /// Delay before a first call that all heads may make together; none in a small fleet.
     pub fn first(&self) -> Duration {
-        if self.fleet > 1.0 { self.spread().mul_f64(self.draw()) } else { Duration::ZERO }
+        if self.is_large() { self.spread().mul_f64(self.draw()) } else { Duration::ZERO }
     }
 
-    /// Pauses between tries at one thing, from the shortest on.
+    /// Delays between attempts, from the shortest on.
     pub fn backoff(&self) -> Backoff<'_> {
         let mut backoff = Backoff { schedule: self, next: Duration::ZERO };
         backoff.restart();
         backoff
     }
 
-    /// A number in [0, 1) by chance (xorshift).
+    /// A random number in [0, 1) (xorshift).
     fn draw(&self) -> f64 {
-        let mut state = self.chance.get();
+        let mut state = self.random.get();
         state ^= state << 13;
         state ^= state >> 7;
         state ^= state << 17;
-        self.chance.set(state);
+        self.random.set(state);
         (state >> 11) as f64 / (1u64 << 53) as f64
     }
 }
 
-/// How long a call may take at its stages.
+/// Timeouts of a call's stages.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTimeouts {
     /// Until it opens, and for one list from its first byte to its last.
     pub call: Duration,
-    /// From opening to the first word.
+    /// From its opening to the first message.
     pub first: Duration,
-    /// From word to word.
+    /// From one message to the next.
     pub silence: Duration,
 }
 
-/// How a call came to its end.
+/// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
-    /// It brought what it was made for.
+    /// It brought the whole list.
     Well,
-    /// It opened, and then nothing came in time.
+    /// It opened, and then timed out.
     Stalled,
     /// It opened, and broke.
     Broke,
@@ -129,12 +148,15 @@
     NeverOpened,
 }
 
-/// The one place that decides when the list is asked for. An agent of the head's own is asked at an even pace, however
-/// its calls end and whether a watch stands: that costs nothing there, and bounds how late any news is. A shared
-/// service is asked once at a time, with pauses that spread a fleet's calls and grow while they fail.
+/// Decides when one address is polled. An agent of the head's own is polled at a fixed interval, however its calls end
+/// and whether a watch stands: that costs nothing there, and bounds how late any change is heard. Of a shared server a
+/// watch is opened once, with delays that spread a fleet's calls and grow while they fail, and in a larger fleet with a
+/// longest interval from one call to the next, whatever becomes of the first.
 pub struct Poller<'a> {
     schedule: &'a PollSchedule,
     backoff: Backoff<'a>,
+    /// When the next call to a shared server begins at the latest, unless a watch stands.
+    next_by: Option<Instant>,
 }
 
 impl Poller<'_> {
@@ -143,68 +165,90 @@
         !self.schedule.shared
     }
 
-    /// How long calls may take.
+    /// Timeouts of calls.
     pub fn spans(&self) -> CallTimeouts {
-        let silence = if self.schedule.shared { SILENCE } else { LONGEST_SILENCE };
+        let silence = if self.schedule.shared { SILENCE } else { MAX_AGENT_SILENCE };
         CallTimeouts { call: self.schedule.call(), first: SILENCE, silence }
     }
 
-    /// After how long without a word the other side is silent.
+    /// After how long without a message the other side counts as silent.
     pub fn quiet(&self) -> Duration {
-        if self.schedule.shared { SILENCE } else { QUIET }
+        if self.schedule.shared { SILENCE } else { AGENT_SILENCE }
     }
 
-    /// A call has begun: when the next one does, whatever comes of it.
-    pub fn began(&self) -> Option<Duration> {
-        self.renews().then_some(self.schedule.every)
+    /// A call has begun. Gives the time to the next one, if that does not depend on how this one ends.
+    pub fn began(&mut self) -> Option<Duration> {
+        if self.renews() {
+            return Some(self.schedule.every);
+        }
+        if !self.schedule.is_large() {
+            return None;
+        }
+        let interval = self.schedule.interval().mul_f64(random_part(LONGEST_PART, self.schedule.draw()));
+        self.next_by = Some(Instant::now() + interval);
+        Some(interval)
     }
 
-    /// A call has ended: when the next one begins, if that depends on it.
+    /// A call has ended. Gives the time to the next one, if that depends on it.
     pub fn ended(&mut self, end: CallEnd) -> Option<Duration> {
+        if self.renews() {
+            return None;
+        }
+        // A watch that ends before the next call would have been due has not stood.
+        let left = self.next_by.map(|at| at.saturating_duration_since(Instant::now()));
+        let left = left.filter(|left| !left.is_zero());
         match end {
-            CallEnd::Well => return (!self.renews()).then_some(Duration::ZERO),
+            CallEnd::Well => return Some(Duration::ZERO),
             CallEnd::Stalled => self.backoff.restart_late(),
-            CallEnd::Broke => self.backoff.restart(),
-            CallEnd::NeverOpened => {}
+            CallEnd::Broke if left.is_none() => self.backoff.restart(),
+            CallEnd::Broke | CallEnd::NeverOpened => {}
         }
-        (!self.renews()).then(|| self.backoff.pause())
+        let delay = self.backoff.pause();
+        Some(left.map_or(delay, |left| delay.min(left)))
     }
 
-    /// How long a call waits that is wanted although a watch stands.
+    /// Delay of a call that is wanted although a watch stands.
     pub fn soon(&mut self) -> Duration {
         if self.renews() { self.schedule.every } else { self.backoff.pause() }
     }
 }
 
-/// Pauses between tries at one thing: each drawn from a span up to twice as long as the one before, so that heads
-/// that lost it together do not come back together.
+/// A factor in [`least`, 1).
+fn random_part(least: f64, draw: f64) -> f64 {
+    least + (1.0 - least) * draw
+}
+
+/// Exponential backoff with jitter: each delay is drawn from a range up to twice as long as the one before, so that
+/// heads that failed together do not come back together.
 pub struct Backoff<'a> {
     schedule: &'a PollSchedule,
     next: Duration,
 }
 
 impl Backoff<'_> {
-    /// The next pause is a first one again.
+    /// Begins again with the first delay.
     pub fn restart(&mut self) {
-        self.next = if self.schedule.fleet > 1.0 { self.schedule.spread() } else { FIRST_PAUSE };
+        self.next = if self.schedule.is_large() { self.schedule.spread() } else { FIRST_DELAY };
     }
 
-    /// After a watch that stayed silent: all that time was lost already, and no head noticed at the same moment.
+    /// Begins again after a watch that was silent: time is short by then, and heads notice at different moments.
     pub fn restart_late(&mut self) {
         self.restart();
         self.next /= 2;
     }
 
-    /// The next pause.
+    /// The next delay.
     pub fn pause(&mut self) -> Duration {
-        let (fleet, draw) = (self.schedule.fleet, self.schedule.draw());
-        let (part, longest) = match fleet > 1.0 {
-            true => (LEAST + (1.0 - LEAST) * draw, FLEET_LONGEST.mul_f64(fleet)),
-            false => (0.5 + draw, LONGEST_PAUSE),
+        let draw = self.schedule.draw();
+        let longest = if self.schedule.is_large() { self.schedule.interval() } else { MAX_DELAY };
+        let part = match self.schedule.is_large() {
+            true if self.next >= longest => random_part(LONGEST_PART, draw),
+            true => random_part(GROWING_PART, draw),
+            false => 0.5 + draw,
         };
-        let pause = self.next.mul_f64(part);
+        let delay = self.next.mul_f64(part);
         self.next = (self.next * 2).min(longest);
-        pause
+        delay
     }
 }
 
