Distribution: another list of relays in force, and a relay asked once more on one watch

Change: Selection::replace_relays keeps the watches whose relays stay; Intake::asks keeps what is known of a source.

--- a/crates/distribution/src/draw.rs
+++ b/crates/distribution/src/draw.rs
@@ -15,10 +15,15 @@
         Draw { seed, drawn: 0 }
     }
 
+    /// A seed for another sequence.
+    pub(crate) fn next_seed(&mut self) -> u64 {
+        self.drawn += 1;
+        xxh3_64_with_seed(&self.drawn.to_le_bytes(), self.seed)
+    }
+
     /// The next number, from `low` to `high`.
     pub(crate) fn between(&mut self, low: f64, high: f64) -> f64 {
-        self.drawn += 1;
-        let bits = xxh3_64_with_seed(&self.drawn.to_le_bytes(), self.seed) >> 11;
+        let bits = self.next_seed() >> 11;
         let fraction = bits as f64 / (1u64 << 53) as f64;
         low + (high - low) * fraction
     }
--- a/crates/distribution/src/intake.rs
+++ b/crates/distribution/src/intake.rs
@@ -34,6 +34,12 @@
         &mut self.source
     }
 
+    /// The same relay is asked once more, for what came after a version; 0 for the whole list. What is known of its being
+    /// behind stands.
+    pub fn asks(&mut self, since: u64) {
+        self.reached = since;
+    }
+
     /// Whether the watch has been behind for so long that its relay is to be asked for the whole list.
     pub fn wants_whole(&self, now: f64) -> bool {
         self.source.counts_anew(now)
--- a/crates/distribution/src/selection.rs
+++ b/crates/distribution/src/selection.rs
@@ -23,6 +23,9 @@
     pub return_s: f64,
     /// How long an opening may take, in seconds.
     pub open_s: f64,
+    /// A watch is lost that says nothing for so long, in seconds: a heartbeat is due every 2 s, so that two may be
+    /// missed. Its client tells that; see [`LostReason::Silent`].
+    pub silence_s: f64,
     /// A relay that failed is left alone for half to all of this, in seconds, twice as long after each next failure.
     pub avoid_s: f64,
     /// But for no longer than this, in seconds.
@@ -41,6 +44,7 @@
             second_s: 10.0,
             return_s: 60.0,
             open_s: 3.0,
+            silence_s: 5.0,
             avoid_s: 2.0,
             max_avoid_s: 60.0,
             stable_s: 30.0,
@@ -128,6 +132,8 @@
 /// The watches of one head.
 #[derive(Debug)]
 pub struct Selection {
+    head_name: String,
+    locality: Locality,
     pacing: Pacing,
     relays: Vec<RelayInfo>,
     /// The relays' places, the best first.
@@ -172,6 +178,8 @@
         let search = Some(Search::new(ranking.clone(), now + draw.between(0.0, pacing.first_try_s)));
         let (standings, watches) = (vec![Standing::default(); relays.len()], Vec::new());
         Ok(Selection {
+            head_name: head_name.to_string(),
+            locality: locality.clone(),
             pacing,
             relays,
             ranking,
@@ -186,6 +194,42 @@
         })
     }
 
+    /// Another list of relays is in force. Watches on relays that it has at the same address stand; the others are ended.
+    pub fn replace_relays(
+        &mut self,
+        relays: Vec<RelayInfo>,
+        now: f64,
+    ) -> Result<Vec<Directive>, RelayListError> {
+        let (pacing, seed) = (self.pacing.clone(), self.draw.next_seed());
+        let new = Selection::with_pacing(&self.head_name, &self.locality, relays, seed, now, pacing)?;
+        let old = std::mem::replace(self, new);
+        self.issued = old.issued;
+        let place = |relay: usize| {
+            let same = |new: &RelayInfo| {
+                new.name == old.relays[relay].name && new.address == old.relays[relay].address
+            };
+            self.relays.iter().position(same)
+        };
+        let mut directives = Vec::new();
+        for watch in &old.watches {
+            match place(watch.relay) {
+                Some(relay) => self.watches.push(Watch { relay, ..*watch }),
+                None => directives.push(Directive::Close { slot: watch.slot }),
+            }
+        }
+        for (relay, standing) in old.standings.iter().enumerate() {
+            if let Some(new) = place(relay) {
+                self.standings[new] = *standing;
+            }
+        }
+        Ok(directives)
+    }
+
+    /// The paces.
+    pub fn pacing(&self) -> &Pacing {
+        &self.pacing
+    }
+
     /// The relays.
     pub fn relays(&self) -> &[RelayInfo] {
         &self.relays
