Distribution: tests of replica, watch, admission, intake, selection and of moves

Change: tests of each part, and 3,000 moves between relays in virtual time while the list changes. A watch whose whole list could not be given for the lease's end asks for it again.

--- a/crates/distribution/src/log.rs
+++ b/crates/distribution/src/log.rs
@@ -9,7 +9,7 @@
 
 impl Position {
     /// The place after this one.
-    pub(crate) fn next(self) -> Position {
+    pub fn following(self) -> Position {
         Position(self.0 + 1)
     }
 }
@@ -70,7 +70,7 @@
             let Some(dropped) = self.records.pop_front() else { return };
             self.bytes -= dropped.text.len();
             self.base = self.base.max(dropped.needed_below);
-            self.first = self.first.next();
+            self.first = self.first.following();
         }
     }
 
--- a/crates/distribution/src/selection.rs
+++ b/crates/distribution/src/selection.rs
@@ -251,6 +251,11 @@
         self.open().find(|watch| watch.slot != primary).map(|watch| watch.slot)
     }
 
+    /// Whether a watch speaks.
+    pub fn is_open(&self, slot: Slot) -> bool {
+        self.open().any(|watch| watch.slot == slot)
+    }
+
     /// The relay of a watch that was not lost or closed.
     pub fn relay_of(&self, slot: Slot) -> Option<usize> {
         self.watches.iter().find(|watch| watch.slot == slot).map(|watch| watch.relay)
--- a/crates/distribution/src/watcher.rs
+++ b/crates/distribution/src/watcher.rs
@@ -52,6 +52,8 @@
 enum Stage {
     /// It knows a version, and nothing was sent yet.
     Asked { since: u64, asked_at: f64 },
+    /// It needs the whole list, and has not said so since it last could not be given.
+    NeedsWhole,
     /// It waits for the whole list.
     AwaitsWhole,
     /// It is to be sent the record at this position.
@@ -85,6 +87,7 @@
         }
         match self.stage {
             Stage::Asked { since, asked_at } => self.begin(since, asked_at, replica, now),
+            Stage::NeedsWhole => self.ask_whole(),
             Stage::AwaitsWhole => self.idle(f64::INFINITY, replica, now),
             Stage::Follows(position) => self.follow(position, replica, now),
         }
@@ -95,10 +98,7 @@
         match replica.resume(since, now) {
             Resume::NotCurrent => Next::Wait { until: now + replica.limits().heartbeat_s },
             Resume::Ahead if now < patience_ends => self.idle(patience_ends, replica, now),
-            Resume::Ahead | Resume::Whole => {
-                self.stage = Stage::AwaitsWhole;
-                Next::Whole
-            }
+            Resume::Ahead | Resume::Whole => self.ask_whole(),
             Resume::Changes { from } => {
                 self.stage = Stage::Follows(from);
                 self.follow(from, replica, now)
@@ -106,10 +106,15 @@
         }
     }
 
+    fn ask_whole(&mut self) -> Next {
+        self.stage = Stage::AwaitsWhole;
+        Next::Whole
+    }
+
     fn follow(&mut self, position: Position, replica: &Replica, now: f64) -> Next {
         match replica.record_at(position) {
             Read::Text(text) => {
-                self.stage = Stage::Follows(position.next());
+                self.stage = Stage::Follows(position.following());
                 self.heartbeat_at = now + replica.limits().heartbeat_s;
                 Next::Send(text)
             }
@@ -128,9 +133,10 @@
     }
 
     /// The whole list, once it may be sent; what comes after it follows. None if the copy is not current, or of another
-    /// generation: ask [`Watcher::next`] again.
+    /// generation: this request is finished, and [`Watcher::next`] says again what is needed.
     pub fn take_whole(&mut self, replica: &mut Replica, now: f64) -> Result<Option<Bytes>, ReplicaError> {
         if replica.generation() != self.generation || replica.status(now) != Status::Current {
+            self.stage = Stage::NeedsWhole;
             return Ok(None);
         }
         let text = replica.snapshot()?;
--- /dev/null
+++ b/crates/distribution/tests/moves.rs
@@ -0,0 +1,127 @@
+//! A head moves from a relay that dies to its spare while the list changes.
+
+mod world;
+
+use flaxgap_distribution::replica::Limits;
+use flaxgap_membership::wire::{Entry, State};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use world::{Death, Plan, World, localities, relays};
+
+/// The even number of nodes in these small lists.
+const NODES: usize = 12;
+/// A change has to be in force within this, in seconds.
+const IN_FORCE_S: f64 = 6.0;
+
+fn small(seed: u64) -> World {
+    World::new(Plan {
+        seed,
+        relays: relays(1, 2, 4),
+        heads: localities(1, 2, 3),
+        nodes: NODES,
+        detailed: true,
+        limits: Limits::default(),
+        upstream_lag_s: 0.3,
+    })
+}
+
+/// Some nodes drain, leave, start anew or are called back exactly as they were.
+fn draw_changes(world: &mut World) -> Vec<Entry> {
+    let mut entries: Vec<Entry> = Vec::new();
+    for _ in 0..world.agenda.chance.random_range(1..4) {
+        let number = world.agenda.chance.random_range(0..NODES + 3);
+        let plain = world::node(number, State::Ready, 0.0);
+        if entries.iter().any(|entry| entry.name == plain.name) {
+            continue;
+        }
+        let boot = (world.now() * 10.0).round() / 10.0;
+        let next = match world.discovery.listed().get(&plain.name) {
+            None => world::node(number, State::Ready, boot),
+            Some(known) if known.state == State::Draining => match world.agenda.chance.random_range(0..3) {
+                0 => Entry { state: State::Ready, ..known.clone() },
+                1 => world::node(number, State::Ready, boot),
+                _ => world::node(number, State::Gone, known.boot),
+            },
+            Some(known) => Entry { state: State::Draining, ..known.clone() },
+        };
+        entries.push(next);
+    }
+    entries
+}
+
+/// Changes the list; gives the new version, and when it came.
+fn change(world: &mut World) -> (u64, f64) {
+    let entries = draw_changes(world);
+    world.discovery.change(entries);
+    world.publish();
+    (world.discovery.version(), world.now())
+}
+
+/// The longest time that a change took to a head.
+fn slowest(world: &World, changes: &[(u64, f64)]) -> f64 {
+    let delay = |(version, at): &(u64, f64)| {
+        let delays =
+            world.heads.iter().map(|head| head.delay(*version, *at).expect("a change that was learnt"));
+        delays.fold(0.0, f64::max)
+    };
+    changes.iter().map(delay).fold(0.0, f64::max)
+}
+
+fn assert_nothing_wrong(world: &World, seed: u64) {
+    for head in &world.heads {
+        assert_eq!(head.wrong, Vec::<String>::new(), "seed {seed}");
+    }
+    for relay in &world.relays {
+        assert_eq!(relay.sent_uncurrent, 0, "seed {seed}");
+    }
+}
+
+/// Given the relay of a head dies, when the list changes before, at and after each step of the move, then no change is
+/// missed, none comes after a newer one, and each is in force within 6 s.
+#[test]
+fn no_change_is_missed_at_any_step_of_a_move() {
+    let (mut longest, mut runs, mut asked_again) = (0.0_f64, 0, 0);
+    for seed in 0..3000 {
+        let mut world = small(seed);
+        world.run_for(15.0);
+        assert!(world.heads.iter().all(|head| head.selection.reachable() == 2), "seed {seed}");
+        // The list changes a few times between 1 s before and 13 s after the death, and at the moment itself.
+        let death = if seed % 2 == 0 { Death::Refuses } else { Death::Silent };
+        let died_at = world.now() + 1.0;
+        let mut times: Vec<f64> =
+            (0..6).map(|_| died_at + world.agenda.chance.random_range(-1.0..13.0)).collect();
+        times.push(died_at + (seed % 100) as f64 * 1e-3 - 0.03);
+        times.sort_by(f64::total_cmp);
+        let relay = *world.heads[0].relays().choose(&mut world.agenda.chance).expect("a relay");
+        // Some relay gets the whole list in place of changes at some time.
+        let whole_at = died_at + world.agenda.chance.random_range(-1.0..2.0);
+        let whole_relay = world.agenda.chance.random_range(0..4);
+        let mut steps: Vec<(f64, u8)> = times.iter().map(|at| (*at, 0)).collect();
+        steps.extend([(died_at, 1), (whole_at, 2)]);
+        steps.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let mut changes = Vec::new();
+        for (at, step) in steps {
+            world.run_until(at);
+            match step {
+                0 => changes.push(change(&mut world)),
+                1 => world.kill(relay, death),
+                _ => world.relays[whole_relay].whole_next = true,
+            }
+        }
+        world.run_until_holds(IN_FORCE_S, |world| world.all_current() && world.all_agree());
+        // The dead one comes back empty, and the heads go back to it.
+        world.revive(relay);
+        for _ in 0..5 {
+            world.run_for(7.0);
+            changes.push(change(&mut world));
+        }
+        world.run_until_holds(IN_FORCE_S, |world| world.all_current() && world.all_agree());
+        longest = longest.max(slowest(&world, &changes));
+        assert!(longest <= IN_FORCE_S, "seed {seed}: {longest} s");
+        assert_nothing_wrong(&world, seed);
+        runs += 1;
+        asked_again += world.heads.iter().map(|head| head.asked_again).sum::<usize>();
+    }
+    println!("{runs} moves, the slowest change in force after {longest:.2} s, {asked_again} asked again");
+    assert!(asked_again > 0, "the crossing that the intake guards against did not come about");
+}
--- /dev/null
+++ b/crates/distribution/tests/watcher.rs
@@ -0,0 +1,198 @@
+//! One watch: what it is sent and when, when it is silent, and when it ends.
+
+use flaxgap_distribution::replica::{Limits, Replica};
+use flaxgap_distribution::watcher::{Blocked, EndReason, Next, Watcher};
+use flaxgap_membership::BEHIND;
+use flaxgap_membership::wire::{Entry, List, State};
+
+const NOW: f64 = 1000.0;
+
+fn entry(boot: f64) -> Entry {
+    let address = Some(([10, 1, 0, 18], 8080).into());
+    Entry { name: "a".into(), address, zone: "a".into(), shard: Some(3), state: State::Ready, boot }
+}
+
+fn list(rev: u64, all: bool) -> List {
+    List { rev, all, entries: vec![entry(rev as f64)], unread: vec![] }
+}
+
+fn replica() -> Replica {
+    let mut replica = Replica::new(Limits::default());
+    replica.apply(list(41, true), NOW).expect("applied");
+    replica
+}
+
+fn rev(next: Next) -> u64 {
+    let Next::Send(text) = next else { panic!("nothing to send: {next:?}") };
+    List::parse(&text).expect("a list").rev
+}
+
+/// Given nothing new, when time passes, then there is an empty line at once and each 2 s.
+#[test]
+fn a_watch_with_nothing_new_hears_an_empty_line_each_2_s() {
+    let mut replica = replica();
+    let mut watcher = Watcher::new(41, replica.generation(), NOW);
+    let (mut heartbeats, mut now) = (Vec::new(), NOW);
+    while now < NOW + 7.0 {
+        replica.heard(now);
+        match watcher.next(&replica, now) {
+            Next::Heartbeat => heartbeats.push(now - NOW),
+            Next::Wait { until } => now = until,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(heartbeats, [0.0, 2.0, 4.0, 6.0]);
+}
+
+/// Given changes, when a watch asks, then it gets each one once, in order, and heartbeats count from the last.
+#[test]
+fn each_change_is_sent_once_in_order() {
+    let mut replica = replica();
+    let mut watcher = Watcher::new(41, replica.generation(), NOW);
+    for version in 42..45 {
+        replica.apply(list(version, false), NOW).expect("applied");
+    }
+    assert_eq!([42, 43, 44], [(); 3].map(|()| rev(watcher.next(&replica, NOW + 1.0))));
+    assert_eq!(watcher.next(&replica, NOW + 1.0), Next::Wait { until: NOW + 3.0 });
+    replica.apply(list(45, false), NOW + 1.5).expect("applied");
+    assert_eq!(rev(watcher.next(&replica, NOW + 1.5)), 45);
+}
+
+/// Given a watch that knows too little, when it asks, then it says once that it needs the whole list, hears heartbeats
+/// until that is admitted, and goes on after the version that it was sent.
+#[test]
+fn a_watch_waits_for_the_whole_list_and_goes_on_after_it() {
+    let mut replica = replica();
+    let mut watcher = Watcher::new(7, replica.generation(), NOW);
+    assert_eq!(watcher.next(&replica, NOW), Next::Whole);
+    assert_eq!(watcher.next(&replica, NOW), Next::Heartbeat);
+    replica.apply(list(42, false), NOW + 1.0).expect("applied");
+    assert_eq!(watcher.next(&replica, NOW + 1.0), Next::Wait { until: NOW + 2.0 });
+    let whole = watcher.take_whole(&mut replica, NOW + 1.0).expect("written").expect("current");
+    assert_eq!(List::parse(&whole).expect("a list").rev, 42);
+    assert_eq!(watcher.next(&replica, NOW + 1.0), Next::Wait { until: NOW + 3.0 });
+    replica.apply(list(43, false), NOW + 1.0).expect("applied");
+    assert_eq!(rev(watcher.next(&replica, NOW + 1.0)), 43);
+}
+
+/// Given a whole list that is admitted after the lease's end, when it is taken, then nothing is sent, and it is asked for
+/// again once the copy is current.
+#[test]
+fn no_whole_list_is_sent_after_the_lease() {
+    let mut replica = replica();
+    let mut watcher = Watcher::new(7, replica.generation(), NOW);
+    assert_eq!(watcher.next(&replica, NOW), Next::Whole);
+    let late = NOW + replica.limits().lease_s;
+    assert_eq!(watcher.take_whole(&mut replica, late).expect("written"), None);
+    assert!(matches!(watcher.next(&replica, late), Next::Wait { .. }));
+    replica.heard(late);
+    assert_eq!(watcher.next(&replica, late), Next::Whole);
+}
+
+/// Given the lease's end, when a watch asks at any later time, then it is sent nothing, neither a change nor an empty line.
+#[test]
+fn after_the_lease_there_is_silence() {
+    let mut replica = replica();
+    let mut following = Watcher::new(41, replica.generation(), NOW);
+    assert_eq!(following.next(&replica, NOW), Next::Heartbeat);
+    replica.apply(list(42, false), NOW + 0.5).expect("applied");
+    let mut asked = Watcher::new(42, replica.generation(), NOW);
+    let mut ahead = Watcher::new(43, replica.generation(), NOW);
+    let end = replica.lease_ends().expect("a lease");
+    for tenths in 0..100 {
+        let now = end + f64::from(tenths) / 10.0;
+        for watcher in [&mut following, &mut asked, &mut ahead] {
+            assert!(matches!(watcher.next(&replica, now), Next::Wait { .. }), "at {now}");
+        }
+    }
+    replica.heard(end + 10.0);
+    assert_eq!(rev(following.next(&replica, end + 10.0)), 42);
+}
+
+/// Given a watch that knows a newer version, when the relay reaches it in time, then it goes on from there and costs no
+/// whole list; until then it hears heartbeats only.
+#[test]
+fn a_watch_that_is_ahead_is_waited_for() {
+    let mut replica = replica();
+    let mut watcher = Watcher::new(43, replica.generation(), NOW);
+    assert_eq!(watcher.next(&replica, NOW), Next::Heartbeat);
+    replica.apply(list(42, false), NOW + 1.0).expect("applied");
+    assert_eq!(watcher.next(&replica, NOW + 1.0), Next::Wait { until: NOW + 2.0 });
+    replica.apply(list(43, false), NOW + 3.0).expect("applied");
+    assert_eq!(watcher.next(&replica, NOW + 3.0), Next::Heartbeat);
+    replica.apply(list(44, false), NOW + 3.0).expect("applied");
+    assert_eq!(rev(watcher.next(&replica, NOW + 3.0)), 44);
+}
+
+/// Given a watch that stays ahead, when 5 s have passed, then it gets the whole list, and not before.
+#[test]
+fn a_watch_that_stays_ahead_gets_the_whole_list_in_time() {
+    let mut replica = replica();
+    let mut watcher = Watcher::new(43, replica.generation(), NOW);
+    let mut now = NOW;
+    let asked_at = loop {
+        replica.heard(now);
+        match watcher.next(&replica, now) {
+            Next::Heartbeat => {}
+            Next::Wait { until } => now = until,
+            Next::Whole => break now,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(asked_at, NOW + replica.limits().catch_up_s);
+}
+
+/// Given a reader that takes nothing, when its time is over, then it ends; one that takes a part of it goes on.
+#[test]
+fn a_slow_reader_is_cut_off() {
+    let mut replica = replica();
+    let mut watcher = Watcher::new(41, replica.generation(), NOW);
+    replica.apply(list(42, false), NOW).expect("applied");
+    assert_eq!(rev(watcher.next(&replica, NOW)), 42);
+    let slow = replica.limits().slow_reader_s;
+    assert_eq!(watcher.blocked(&replica, NOW), Blocked::Wait { until: NOW + slow });
+    assert_eq!(watcher.blocked(&replica, NOW + slow - 1.0), Blocked::Wait { until: NOW + slow });
+    watcher.progressed();
+    assert_eq!(watcher.blocked(&replica, NOW + slow), Blocked::Wait { until: NOW + 2.0 * slow });
+    assert_eq!(watcher.blocked(&replica, NOW + 2.0 * slow), Blocked::End(EndReason::SlowReader));
+}
+
+/// Given a reader that is slower than the log is long, when its place was dropped, then it ends and may come again.
+#[test]
+fn a_watch_whose_place_was_dropped_ends() {
+    let mut replica = Replica::new(Limits { log_changes: 3, ..Limits::default() });
+    replica.apply(list(41, true), NOW).expect("applied");
+    let mut watcher = Watcher::new(41, replica.generation(), NOW);
+    let mut blocked = Watcher::new(41, replica.generation(), NOW);
+    assert_eq!(watcher.next(&replica, NOW), Next::Heartbeat);
+    assert_eq!(blocked.next(&replica, NOW), Next::Heartbeat);
+    for version in 42..45 {
+        replica.apply(list(version, false), NOW).expect("applied");
+    }
+    assert!(matches!(blocked.blocked(&replica, NOW), Blocked::Wait { .. }));
+    replica.apply(list(45, false), NOW).expect("applied");
+    assert_eq!(watcher.next(&replica, NOW), Next::End(EndReason::TooFarBehind));
+    assert_eq!(blocked.blocked(&replica, NOW), Blocked::End(EndReason::TooFarBehind));
+    let mut again = Watcher::new(41, replica.generation(), NOW);
+    assert_eq!(again.next(&replica, NOW), Next::Whole);
+}
+
+/// Given a source that counts anew, when watches of the old count ask, then they end, whatever they wait for.
+#[test]
+fn watches_of_an_earlier_generation_end() {
+    let mut replica = Replica::new(Limits::default());
+    replica.apply(list(900, true), NOW).expect("applied");
+    let generation = replica.generation();
+    let mut watchers = [900, 7, 950].map(|since| Watcher::new(since, generation, NOW));
+    for watcher in &mut watchers {
+        watcher.next(&replica, NOW);
+    }
+    replica.apply(list(1, true), NOW).expect("applied");
+    let now = NOW + BEHIND;
+    assert!(replica.apply(list(1, true), now).expect("applied").renumbered);
+    for watcher in &mut watchers {
+        assert_eq!(watcher.take_whole(&mut replica, now).expect("written"), None);
+        assert_eq!(watcher.blocked(&replica, now), Blocked::End(EndReason::Renumbered));
+        assert_eq!(watcher.next(&replica, now), Next::End(EndReason::Renumbered));
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/world/head.rs
@@ -0,0 +1,270 @@
+//! A head: the real selection and intake, and membership where the list itself matters.
+
+use super::discovery::{Discovery, Said, said};
+use super::{Connection, Happening, Plan, START, Word, World};
+use bytes::Bytes;
+use flaxgap_distribution::intake::{Intake, Verdict};
+use flaxgap_distribution::selection::{Directive, Locality, LostReason, Selection, Slot};
+use flaxgap_membership::wire::List;
+use flaxgap_membership::{Change, Membership};
+use std::collections::BTreeMap;
+
+/// One watch, as the head's client keeps it.
+struct Watch {
+    connection: Connection,
+    relay: usize,
+    intake: Intake,
+    last_word: f64,
+    /// It was asked for the whole list since its relay was found to count anew.
+    asked_whole: bool,
+}
+
+pub struct Head {
+    pub locality: Locality,
+    pub selection: Selection,
+    watches: BTreeMap<Slot, Watch>,
+    known: u64,
+    membership: Option<Membership>,
+    listed: BTreeMap<String, Said>,
+    /// By node, the version at the latest from which what is listed held.
+    held: BTreeMap<String, u64>,
+    /// Words that were older than what was known, or never held.
+    pub wrong: Vec<String>,
+    pub wholes: usize,
+    /// When it came to know which version.
+    pub reached: Vec<(u64, f64)>,
+    pub asked_again: usize,
+    /// It takes no heed of its intake.
+    pub heedless: bool,
+    /// When its selection last had no relay.
+    pub unreachable_since: Option<f64>,
+    wakes_at: f64,
+}
+
+impl Head {
+    pub fn new(number: usize, locality: &Locality, plan: &Plan) -> Head {
+        let seed = plan.seed.wrapping_mul(1_000_003).wrapping_add(number as u64);
+        let name = format!("head-{number}");
+        let selection = Selection::new(&name, locality, plan.relays.clone(), seed, START).expect("relays");
+        Head {
+            locality: locality.clone(),
+            selection,
+            watches: BTreeMap::new(),
+            known: 0,
+            membership: plan.detailed.then(Membership::default),
+            listed: BTreeMap::new(),
+            held: BTreeMap::new(),
+            wrong: Vec::new(),
+            wholes: 0,
+            reached: Vec::new(),
+            asked_again: 0,
+            heedless: false,
+            unreachable_since: None,
+            wakes_at: START,
+        }
+    }
+
+    pub fn known(&self) -> u64 {
+        self.membership.as_ref().map_or(self.known, Membership::version)
+    }
+
+    /// It begins with an earlier list.
+    pub fn remembers(&mut self, version: u64) {
+        self.known = version;
+    }
+
+    pub fn listed(&self, name: &str) -> Said {
+        self.listed.get(name).copied().flatten()
+    }
+
+    pub fn agrees(&self, discovery: &Discovery) -> bool {
+        let mine = self.listed.iter().filter(|(_, said)| said.is_some());
+        mine.clone().count() == discovery.listed().len()
+            && discovery.listed().values().all(|entry| self.listed(&entry.name) == said(entry))
+    }
+
+    /// How long it took to learn of a version that was published at a time.
+    pub fn delay(&self, version: u64, published: f64) -> Option<f64> {
+        self.reached.iter().find(|(known, _)| *known >= version).map(|(_, at)| at - published)
+    }
+
+    /// The relays whose watches speak.
+    pub fn relays(&self) -> Vec<usize> {
+        let slots = [self.selection.primary(), self.selection.spare()];
+        slots.into_iter().flatten().filter_map(|slot| self.selection.relay_of(slot)).collect()
+    }
+
+    /// Takes in a line, and says whether it has to ask again.
+    fn take(&mut self, slot: Slot, text: &Bytes, now: f64, discovery: &Discovery) -> bool {
+        let known = self.known();
+        let Some(watch) = self.watches.get_mut(&slot) else { return false };
+        let list = match &self.membership {
+            Some(_) => List::parse(text).expect("a list that can be read"),
+            None => heading(text),
+        };
+        self.wholes += usize::from(list.all);
+        let verdict = watch.intake.consider(&list, known);
+        if !self.heedless {
+            match verdict {
+                Verdict::Take => {}
+                Verdict::Known => return false,
+                Verdict::AskAgain => return true,
+            }
+        }
+        let Some(membership) = &mut self.membership else {
+            self.known = self.known.max(list.rev);
+            return false;
+        };
+        let changes = membership.take(list, watch.intake.source(), now);
+        watch.asked_whole &= watch.intake.wants_whole(now);
+        for change in changes {
+            let (name, word) = match change {
+                Change::Holds(entry) => (entry.name.clone(), said(&entry)),
+                Change::Gone(name) => (name, None),
+            };
+            self.note(name, word, discovery);
+        }
+        false
+    }
+
+    /// Notes a word, and checks that it held at no earlier version than the word before it.
+    fn note(&mut self, name: String, word: Said, discovery: &Discovery) {
+        let before = self.held.get(&name).copied().unwrap_or_default();
+        match discovery.held_from(&name, word, before) {
+            Some(version) => _ = self.held.insert(name.clone(), version),
+            None => self.wrong.push(format!("{name}: {word:?} after version {before}")),
+        }
+        self.listed.insert(name, word);
+    }
+}
+
+/// A list's version, and whether it is whole, without its entries.
+fn heading(text: &Bytes) -> List {
+    let start = std::str::from_utf8(&text[..text.len().min(64)]).expect("text");
+    let rest = start.strip_prefix("{\"rev\":").expect("a version first");
+    let (rev, rest) = rest.split_once(',').expect("a version's end");
+    let all = rest.starts_with("\"all\":true");
+    List { rev: rev.parse().expect("a version"), all, entries: vec![], unread: vec![] }
+}
+
+impl World {
+    pub(super) fn head_wakes(&mut self, head: usize) {
+        let now = self.agenda.now;
+        let silence = self.heads[head].selection.pacing().silence_s;
+        let silent: Vec<Slot> = self.heads[head]
+            .watches
+            .iter()
+            .filter(|(slot, watch)| self.heads[head].speaks(**slot) && now - watch.last_word >= silence)
+            .map(|(slot, _)| *slot)
+            .collect();
+        for slot in silent {
+            self.head_loses(head, slot, LostReason::Silent);
+        }
+        self.head_asks_whole(head);
+        for directive in self.heads[head].selection.poll(now) {
+            match directive {
+                Directive::Open { slot, relay, at } => {
+                    assert!(at <= now);
+                    self.head_opens(head, slot, relay);
+                }
+                Directive::Close { slot } => self.head_closes(head, slot),
+            }
+        }
+        let head_state = &mut self.heads[head];
+        head_state.unreachable_since = match head_state.selection.reachable() {
+            0 => head_state.unreachable_since.or(Some(now)),
+            _ => None,
+        };
+        // A late watch is seen within half a second.
+        let next = head_state.selection.next_poll(now).min(now + 0.5).max(now + 1e-3);
+        if head_state.wakes_at <= now || next < head_state.wakes_at {
+            head_state.wakes_at = next;
+            self.agenda.at(next, Happening::HeadWakes { head });
+        }
+    }
+
+    fn head_opens(&mut self, head: usize, slot: Slot, relay: usize) {
+        let known = self.heads[head].known();
+        let watch = Watch {
+            connection: Connection(0),
+            relay,
+            intake: Intake::new(known),
+            last_word: self.agenda.now,
+            asked_whole: false,
+        };
+        self.heads[head].watches.insert(slot, watch);
+        self.head_asks(head, slot, known);
+    }
+
+    /// Asks the watch's relay on a new connection.
+    fn head_asks(&mut self, head: usize, slot: Slot, since: u64) {
+        let (connection, latency) = (self.agenda.connection(), self.agenda.latency());
+        let Some(watch) = self.heads[head].watches.get_mut(&slot) else { return };
+        watch.intake.asks(since);
+        watch.last_word = self.agenda.now;
+        let old = std::mem::replace(&mut watch.connection, connection);
+        let relay = watch.relay;
+        let at = self.agenda.now + latency;
+        self.agenda.at(at, Happening::RelayLeft { relay, connection: old });
+        self.agenda.at(at, Happening::RelayAsked { relay, head, slot, connection, since });
+    }
+
+    /// Where a relay has been behind for too long it is asked for the whole list.
+    fn head_asks_whole(&mut self, head: usize) {
+        let now = self.agenda.now;
+        let watches = self.heads[head].watches.iter_mut();
+        let due = watches.filter(|(_, watch)| !watch.asked_whole && watch.intake.wants_whole(now));
+        let due: Vec<Slot> = due
+            .map(|(slot, watch)| {
+                watch.asked_whole = true;
+                *slot
+            })
+            .collect();
+        for slot in due {
+            self.head_asks(head, slot, 0);
+        }
+    }
+
+    fn head_closes(&mut self, head: usize, slot: Slot) {
+        let latency = self.agenda.latency();
+        if let Some(watch) = self.heads[head].watches.remove(&slot) {
+            let (relay, connection) = (watch.relay, watch.connection);
+            self.agenda.at(self.agenda.now + latency, Happening::RelayLeft { relay, connection });
+        }
+    }
+
+    fn head_loses(&mut self, head: usize, slot: Slot, reason: LostReason) {
+        self.head_closes(head, slot);
+        self.heads[head].selection.lost(slot, reason, self.agenda.now);
+    }
+
+    pub(super) fn head_hears(&mut self, head: usize, slot: Slot, connection: Connection, word: Word) {
+        let now = self.agenda.now;
+        let Some(watch) = self.heads[head].watches.get_mut(&slot) else { return };
+        if watch.connection != connection {
+            return;
+        }
+        watch.last_word = now;
+        match word {
+            Word::Lost(reason) => self.head_loses(head, slot, reason),
+            Word::Heartbeat => self.heads[head].selection.opened(slot, now),
+            Word::Text(text) => {
+                self.heads[head].selection.opened(slot, now);
+                let asks_again = self.heads[head].take(slot, &text, now, &self.discovery);
+                let known = self.heads[head].known();
+                self.heads[head].reached.push((known, now));
+                if asks_again {
+                    self.heads[head].asked_again += 1;
+                    self.head_asks(head, slot, known);
+                }
+            }
+        }
+        self.head_wakes(head);
+    }
+}
+
+impl Head {
+    fn speaks(&self, slot: Slot) -> bool {
+        self.selection.is_open(slot)
+    }
+}
