--- a/crates/distribution/src/intake.rs
+++ b/crates/distribution/src/intake.rs
@@ -3,7 +3,6 @@
 //! over a version that the head has from the other relay may lack what changed and changed back.
 
 use flaxgap_membership::Source;
-use flaxgap_membership::wire::List;
 
 /// What to do with a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,17 +44,17 @@
         self.source.counts_anew(now)
     }
 
-    /// What to do with a list of this watch, by the version that membership knows. One that is behind goes to membership
-    /// in any case once a whole list has shown it to be.
-    pub fn consider(&mut self, list: &List, known: u64) -> Verdict {
-        let before = std::mem::replace(&mut self.reached, list.rev);
-        if list.all || self.source.is_behind() {
+    /// What to do with a list of this watch: its version, whether it is whole, and the version that membership knows. One
+    /// that is behind goes to membership in any case once a whole list has shown it to be.
+    pub fn consider(&mut self, version: u64, whole: bool, known: u64) -> Verdict {
+        let before = std::mem::replace(&mut self.reached, version);
+        if whole || self.source.is_behind() {
             return Verdict::Take;
         }
-        if list.rev < known {
+        if version < known {
             return Verdict::Known;
         }
-        if before < known && known < list.rev {
+        if before < known && known < version {
             return Verdict::AskAgain;
         }
         Verdict::Take
--- a/crates/distribution/tests/intake.rs
+++ b/crates/distribution/tests/intake.rs
@@ -17,12 +17,12 @@
 #[test]
 fn what_the_other_watch_told_is_known() {
     let mut intake = Intake::new(41);
-    assert_eq!(intake.consider(&list(42, false), 41), Verdict::Take);
-    assert_eq!(intake.consider(&list(43, false), 45), Verdict::Known);
-    assert_eq!(intake.consider(&list(44, false), 45), Verdict::Known);
+    assert_eq!(intake.consider(42, false, 41), Verdict::Take);
+    assert_eq!(intake.consider(43, false, 45), Verdict::Known);
+    assert_eq!(intake.consider(44, false, 45), Verdict::Known);
     // The last version may be told once more, with a drain that came late.
-    assert_eq!(intake.consider(&list(45, false), 45), Verdict::Take);
-    assert_eq!(intake.consider(&list(46, false), 45), Verdict::Take);
+    assert_eq!(intake.consider(45, false, 45), Verdict::Take);
+    assert_eq!(intake.consider(46, false, 45), Verdict::Take);
 }
 
 /// Given a list that jumps over a version known from the other watch, when it comes, then the relay is asked again, with
@@ -30,11 +30,11 @@
 #[test]
 fn a_list_that_jumps_over_the_known_version_is_not_taken() {
     let mut intake = Intake::new(41);
-    assert_eq!(intake.consider(&list(44, false), 42), Verdict::AskAgain);
+    assert_eq!(intake.consider(44, false, 42), Verdict::AskAgain);
     intake.asks(42);
-    assert_eq!(intake.consider(&list(44, false), 42), Verdict::Take);
-    assert_eq!(intake.consider(&list(50, false), 44), Verdict::Take);
-    assert_eq!(intake.consider(&list(60, true), 55), Verdict::Take);
+    assert_eq!(intake.consider(44, false, 42), Verdict::Take);
+    assert_eq!(intake.consider(50, false, 44), Verdict::Take);
+    assert_eq!(intake.consider(60, true, 55), Verdict::Take);
 }
 
 /// Given a relay whose source counts anew, when its whole list comes, then its changes are taken too, and after the time
@@ -43,9 +43,9 @@
 fn a_relay_that_counts_anew_is_asked_for_the_whole_list() {
     let (mut membership, mut intake) = (Membership::default(), Intake::new(0));
     membership.take(list(900, true), intake.source(), NOW);
-    assert_eq!(intake.consider(&list(1, true), 900), Verdict::Take);
+    assert_eq!(intake.consider(1, true, 900), Verdict::Take);
     membership.take(list(1, true), intake.source(), NOW);
-    assert_eq!(intake.consider(&list(2, false), 900), Verdict::Take);
+    assert_eq!(intake.consider(2, false, 900), Verdict::Take);
     assert!(!intake.wants_whole(NOW + BEHIND - 0.1));
     intake.asks(0);
     assert!(intake.wants_whole(NOW + BEHIND));
--- a/crates/distribution/tests/replica.rs
+++ b/crates/distribution/tests/replica.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use flaxgap_distribution::replica::{Limits, Read, Replica, Resume, Status};
+use flaxgap_membership::compact::CompactList;
 use flaxgap_membership::wire::{Entry, List, State, Unread};
 use flaxgap_membership::{BEHIND, Change, Membership, Source};
 use std::collections::BTreeMap;
@@ -232,7 +233,7 @@
         head.hear(list, NOW);
     }
     assert_eq!(head.state("b"), None);
-    assert_eq!(parse(&replica.snapshot().expect("a list")).names().count(), 1);
+    assert_eq!(CompactList::from(parse(&replica.snapshot().expect("a list"))).names().count(), 1);
 }
 
 /// Given a change in which a known node can't be read, when it is taken in, then what was known of the node stands.
--- a/crates/distribution/tests/world/head.rs
+++ b/crates/distribution/tests/world/head.rs
@@ -103,7 +103,7 @@
             None => heading(text),
         };
         self.wholes += usize::from(list.all);
-        let verdict = watch.intake.consider(&list, known);
+        let verdict = watch.intake.consider(list.rev, list.all, known);
         if !self.heedless {
             match verdict {
                 Verdict::Take => {}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -176,9 +176,10 @@
         self.nodes.iter().map(|(_, node)| Node::from(node))
     }
 
-    /// Takes in a list, and gives what it changes: first what a whole list no longer names, then in its order.
+    /// Takes in a list, and gives what stands of it: first what a whole list no longer names, then in its order. An entry
+    /// that says what is known already is among it: somebody else may not know it yet.
     pub fn take(&mut self, list: List, source: &mut Source, now: f64) -> Vec<Change> {
-        let changes = self.apply(&list.into(), source, now);
+        let changes = self.apply_and_report(&list.into(), source, now, Unchanged::Report);
         changes.into_iter().map(|change| self.named(change)).collect()
     }
 
@@ -200,6 +201,16 @@
     /// Takes in a list, and gives what it changes: first what a whole list no longer names, then in its order. An entry
     /// that says what is known already changes nothing.
     pub fn apply(&mut self, list: &CompactList, source: &mut Source, now: f64) -> Vec<NodeChange> {
+        self.apply_and_report(list, source, now, Unchanged::Omit)
+    }
+
+    fn apply_and_report(
+        &mut self,
+        list: &CompactList,
+        source: &mut Source,
+        now: f64,
+        unchanged: Unchanged,
+    ) -> Vec<NodeChange> {
         if list.all && list.rev < self.newest.version && source.counts_anew(now) {
             self.newest = Number { epoch: self.newest.epoch + 1, version: list.rev };
             self.whole = None;
@@ -215,7 +226,7 @@
             self.newest = number;
         }
         for entry in list.entries() {
-            changes.extend(self.apply_entry(entry, number, now));
+            changes.extend(self.apply_entry(entry, number, now, unchanged));
         }
         self.newest.version = self.newest.version.max(list.rev);
         self.longest = self.longest.max(self.nodes.len());
@@ -246,7 +257,13 @@
         }
     }
 
-    fn apply_entry(&mut self, entry: EntryRef<'_>, number: Number, now: f64) -> Option<NodeChange> {
+    fn apply_entry(
+        &mut self,
+        entry: EntryRef<'_>,
+        number: Number,
+        now: f64,
+        unchanged: Unchanged,
+    ) -> Option<NodeChange> {
         let slot = self.nodes.find(entry.name);
         let known = match slot.and_then(|slot| self.nodes.get(slot)) {
             Some(node) => Some(node.record()),
@@ -265,7 +282,7 @@
         let record = Record::after(known.as_ref(), entry.state, entry.boot, number, now);
         let zone = self.zones.number(entry.zone);
         match slot.and_then(|slot| self.nodes.get_mut(slot)) {
-            Some(node) => update(node, entry, zone, record),
+            Some(node) => update(node, entry, zone, record, unchanged),
             None => Some(self.list(entry, zone, record)),
         }
     }
@@ -297,8 +314,21 @@
     }
 }
 
+/// Whether entries that say what is known already are reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unchanged {
+    Report,
+    Omit,
+}
+
 /// Writes what holds of a listed node; a change if anything but the record's number is new.
-fn update(node: &mut ListedNode, entry: EntryRef<'_>, zone: u16, record: Record) -> Option<NodeChange> {
+fn update(
+    node: &mut ListedNode,
+    entry: EntryRef<'_>,
+    zone: u16,
+    record: Record,
+    unchanged: Unchanged,
+) -> Option<NodeChange> {
     let before = Node::from(&*node);
     node.set_record(record);
     if entry.address.is_some() && entry.address != before.address {
@@ -307,5 +337,5 @@
     (node.zone, node.shard) = (zone, entry.shard.unwrap_or(before.shard));
     let left_shard = (before.shard != node.shard).then_some(before.shard);
     let node = Node::from(&*node);
-    (node != before).then_some(NodeChange::Updated { node, left_shard })
+    (node != before || unchanged == Unchanged::Report).then_some(NodeChange::Updated { node, left_shard })
 }
--- /dev/null
+++ b/src/bin/flaxgap-relay/relay.rs
@@ -0,0 +1,452 @@
+//! The relay's state, and what runs as long as the program: following the upstream, admitting whole lists, signals.
+
+use crate::counters::{Counters, Report};
+use crate::http;
+use crate::session::{Handle, Kind, Session};
+use crate::settings::Settings;
+use bytes::Bytes;
+use flaxgap::core::Clock;
+use flaxgap::discovery::client::{CountedTcp, Query, Subscription, Update};
+use flaxgap::discovery::schedule::PollSchedule;
+use flaxgap::discovery::whole::Whole;
+use flaxgap_distribution::admission::{Admission, AdmissionLimits, Admit, Ticket};
+use flaxgap_distribution::replica::{Limits, Replica, Status};
+use flaxgap_distribution::watcher::Watcher;
+use flaxgap_membership::compact::CompactList;
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{BuildHasher, RandomState};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// The upstream is asked as by a small fleet: relays are few, and its return is to be found within a second or so.
+const CALLERS: u32 = 1;
+/// How often whole lists that take too long are looked for while any are being sent.
+const OVERDUE_CHECK: Duration = Duration::from_secs(1);
+/// How long connections may take to end after SIGTERM.
+const END_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a call is answered with 503.
+#[derive(Debug, Error)]
+pub enum Unavailable {
+    /// No list has come since the start.
+    #[error("no list yet")]
+    Empty,
+    /// The lease has run out.
+    #[error("upstream was last heard {0:.1} s ago")]
+    Expired(f64),
+    /// So many watches stand already.
+    #[error("{0} watches stand, the most that the configuration lets")]
+    Full(usize),
+    /// Too many callers wait for the whole list.
+    #[error("too many wait for the whole list; come again in {after_s:.0} s")]
+    Busy {
+        /// In seconds.
+        after_s: f64,
+    },
+    /// SIGTERM came.
+    #[error("the relay ends")]
+    Ending,
+}
+
+impl Unavailable {
+    /// After how many seconds the caller is to come again, where that is known.
+    pub fn retry_after(&self) -> Option<f64> {
+        match self {
+            Unavailable::Busy { after_s } => Some(*after_s),
+            _ => None,
+        }
+    }
+}
+
+/// What all of a relay's parts share.
+pub struct Relay {
+    settings: Settings,
+    clock: Clock,
+    replica: RefCell<Replica>,
+    admission: RefCell<Admission>,
+    /// The admission has something new: a request, or a place that is free.
+    admission_changed: Notify,
+    /// Calls that are being answered from the copy, watches among them.
+    sessions: RefCell<HashMap<u64, (Kind, Rc<Handle>)>>,
+    tickets: RefCell<BTreeMap<Ticket, Rc<Handle>>>,
+    began: Cell<u64>,
+    counters: Rc<Counters>,
+    ending: Cell<bool>,
+    open_connections: Cell<usize>,
+    all_closed: Notify,
+}
+
+impl Relay {
+    /// An empty relay.
+    pub fn new(settings: Settings) -> Rc<Relay> {
+        let limits = Limits { slow_reader_s: settings.slow_reader_s, ..Limits::default() };
+        let sends = AdmissionLimits { sends: settings.whole_sends, ..AdmissionLimits::default() };
+        Rc::new(Relay {
+            clock: Clock::start(),
+            replica: RefCell::new(Replica::new(limits)),
+            admission: RefCell::new(Admission::new(sends, drawn_seed())),
+            admission_changed: Notify::new(),
+            sessions: RefCell::default(),
+            tickets: RefCell::default(),
+            began: Cell::new(0),
+            counters: Rc::default(),
+            ending: Cell::new(false),
+            open_connections: Cell::new(0),
+            all_closed: Notify::new(),
+            settings,
+        })
+    }
+
+    /// Runs until SIGTERM or SIGINT.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) -> io::Result<()> {
+        let (mut terminate, mut interrupt) =
+            (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let mut report = signal(SignalKind::user_defined1())?;
+        let log_reports = async {
+            while report.recv().await.is_some() {
+                log::info!("relay: {}", self.report());
+            }
+        };
+        tokio::select! {
+            () = http::listen(&self, &listener) => {}
+            () = self.follow() => {}
+            () = self.admit() => {}
+            () = log_reports => {}
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        drop(listener);
+        self.end().await;
+        log::info!("relay: {}", self.report());
+        Ok(())
+    }
+
+    /// Ends every session; heads go to other relays.
+    async fn end(&self) {
+        self.ending.set(true);
+        self.wake_all();
+        let closed = async {
+            while self.open_connections.get() > 0 {
+                self.all_closed.notified().await;
+            }
+        };
+        if timeout(END_TIMEOUT, closed).await.is_err() {
+            log::warn!("relay: {} connections still open at the end", self.open_connections.get());
+        }
+    }
+
+    /// Seconds of Unix time.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// The instant of a time.
+    pub fn instant(&self, at: f64) -> Instant {
+        self.clock.instant(at)
+    }
+
+    /// The copy of the list.
+    pub fn replica(&self) -> Ref<'_, Replica> {
+        self.replica.borrow()
+    }
+
+    /// What it counts.
+    pub fn counters(&self) -> &Rc<Counters> {
+        &self.counters
+    }
+
+    /// Whether SIGTERM came.
+    pub fn is_ending(&self) -> bool {
+        self.ending.get()
+    }
+
+    /// Whether heads are answered, and why not.
+    pub fn availability(&self) -> Result<(), Unavailable> {
+        if self.is_ending() {
+            return Err(Unavailable::Ending);
+        }
+        let (replica, now) = (self.replica(), self.now());
+        match replica.status(now) {
+            Status::Current => Ok(()),
+            Status::Empty => Err(Unavailable::Empty),
+            Status::Expired => {
+                let heard = replica.lease_ends().map_or(now, |end| end - replica.limits().lease_s);
+                Err(Unavailable::Expired(now - heard))
+            }
+        }
+    }
+
+    /// A connection for as long as what is given lives.
+    pub fn connection(self: &Rc<Self>) -> OpenConnection {
+        self.open_connections.set(self.open_connections.get() + 1);
+        OpenConnection(self.clone())
+    }
+
+    /// The counters as JSON.
+    pub fn report(&self) -> String {
+        let (replica, counters) = (self.replica(), &self.counters);
+        let report = Report {
+            name: self.settings.name.clone(),
+            ready: self.availability().is_ok(),
+            version: replica.version(),
+            generation: replica.generation(),
+            nodes: replica.nodes(),
+            watchers: self.watches(),
+            whole_sending: self.admission.borrow().sending(),
+            whole_waiting: self.admission.borrow().waiting(),
+            log_changes: replica.log().len(),
+            log_bytes: replica.log().bytes(),
+            whole_sent: counters.whole_sent.get(),
+            resumed: counters.resumed.get(),
+            changes: counters.changes.get(),
+            bytes_sent: counters.bytes_sent.get(),
+            bytes_received: counters.bytes_received.get(),
+            heartbeats: counters.heartbeats.get(),
+            slow_readers_ended: counters.slow_readers_ended.get(),
+            lease_expired: counters.lease_expired.get(),
+            refused: counters.refused.get(),
+            unread: counters.unread.get(),
+        };
+        serde_json::to_string(&report).unwrap_or_else(|problem| format!("{{\"problem\":\"{problem}\"}}"))
+    }
+}
+
+/// Sessions.
+impl Relay {
+    /// Begins to answer a call, if it can be answered.
+    pub fn open(
+        self: &Rc<Self>,
+        kind: Kind,
+        since: u64,
+        handle: &Rc<Handle>,
+    ) -> Result<Rc<Session>, Unavailable> {
+        self.availability()?;
+        if kind == Kind::Watch && self.watches() >= self.settings.watchers {
+            return Err(Unavailable::Full(self.settings.watchers));
+        }
+        let watcher = Watcher::new(since, self.replica().generation(), self.now());
+        let session = Rc::new(Session::new(self.clone(), kind, watcher, handle.clone()));
+        let resumes = kind == Kind::Watch && session.resumes(since);
+        if resumes {
+            self.counters.resumed.add(1);
+        } else if let Some(after_s) = session.begin_whole() {
+            return Err(Unavailable::Busy { after_s });
+        }
+        Ok(session)
+    }
+
+    fn watches(&self) -> usize {
+        self.sessions.borrow().values().filter(|(kind, _)| *kind == Kind::Watch).count()
+    }
+
+    /// Notes a session; gives its number.
+    pub fn register(&self, kind: Kind, handle: &Rc<Handle>) -> u64 {
+        let number = self.began.get();
+        self.began.set(number + 1);
+        self.sessions.borrow_mut().insert(number, (kind, handle.clone()));
+        number
+    }
+
+    /// A session has ended.
+    pub fn unregister(&self, number: u64) {
+        self.sessions.borrow_mut().remove(&number);
+    }
+
+    fn wake_all(&self) {
+        self.sessions.borrow().values().for_each(|(_, handle)| handle.wake());
+    }
+}
+
+/// Whole lists.
+impl Relay {
+    /// Asks for the admission of one whole list.
+    pub fn request_whole(&self) -> Admit {
+        let bytes = match self.replica.borrow_mut().snapshot() {
+            Ok(text) => text.len(),
+            Err(problem) => {
+                log::error!("relay: {problem}");
+                0
+            }
+        };
+        let admit = self.admission.borrow_mut().request(bytes, self.now());
+        self.admission_changed.notify_one();
+        admit
+    }
+
+    /// Whose whole list a ticket stands for.
+    pub fn register_ticket(&self, ticket: Ticket, handle: &Rc<Handle>) {
+        self.tickets.borrow_mut().insert(ticket, handle.clone());
+    }
+
+    /// The whole list, for a session that has it admitted; none if it can't be told any more.
+    pub fn take_whole(&self, watcher: &mut Watcher) -> Option<Bytes> {
+        let taken = watcher.take_whole(&mut self.replica.borrow_mut(), self.now());
+        if let Err(problem) = &taken {
+            log::error!("relay: {problem}");
+        }
+        let text = taken.ok().flatten()?;
+        self.counters.whole_sent.add(1);
+        Some(text)
+    }
+
+    /// A whole list was sent, or its session has ended.
+    pub fn whole_finished(&self, ticket: Ticket) {
+        self.tickets.borrow_mut().remove(&ticket);
+        self.admission.borrow_mut().finished(ticket);
+        self.admission_changed.notify_one();
+    }
+
+    /// Lets the next whole lists be sent as places and the rate allow, and ends those that take too long.
+    async fn admit(&self) {
+        loop {
+            let now = self.now();
+            let (admitted, overdue) = {
+                let mut admission = self.admission.borrow_mut();
+                (admission.poll(now), admission.overdue(now))
+            };
+            let handle = |ticket: &Ticket| self.tickets.borrow().get(ticket).cloned();
+            admitted.iter().filter_map(handle).for_each(|handle| handle.admit());
+            overdue.iter().filter_map(handle).for_each(|handle| handle.cut_off());
+            self.counters.slow_readers_ended.add(overdue.len() as u64);
+            tokio::select! {
+                () = self.admission_changed.notified() => {}
+                () = self.next_admission() => {}
+            }
+        }
+    }
+
+    /// Waits until time alone lets something be admitted, or found overdue.
+    async fn next_admission(&self) {
+        let (next_poll, sending) = {
+            let admission = self.admission.borrow();
+            (admission.next_poll(), admission.sending())
+        };
+        match next_poll {
+            Some(at) => sleep_until(self.instant(at)).await,
+            None if sending > 0 => sleep(OVERDUE_CHECK).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// The upstream.
+impl Relay {
+    /// Follows the upstream for as long as it is polled.
+    async fn follow(&self) {
+        let schedule = PollSchedule::new(CALLERS, drawn_seed(), true, Duration::ZERO);
+        let dial = CountedTcp(self.counters.clone());
+        let mut subscription = Subscription::new(dial, self.settings.upstream, &schedule);
+        let owed = Whole::wanted(false);
+        let mut was_current = false;
+        loop {
+            let lease_ends = self.replica().lease_ends().filter(|_| was_current);
+            tokio::select! {
+                update = subscription.next(|| self.upstream_query(&owed)) => {
+                    self.take_update(update, &owed, &mut subscription);
+                }
+                () = self.reached(lease_ends) => {}
+            }
+            let is_current = self.replica().status(self.now()) == Status::Current;
+            if std::mem::replace(&mut was_current, is_current) != is_current {
+                self.note_status(is_current);
+            }
+        }
+    }
+
+    fn upstream_query(&self, owed: &Whole) -> Query {
+        let replica = self.replica();
+        let whole = owed.take() || replica.wants_whole(self.now());
+        if whole { Query::Whole } else { Query::Since(replica.upstream_cursor()) }
+    }
+
+    fn take_update(
+        &self,
+        update: Update,
+        owed: &Whole,
+        subscription: &mut Subscription<'_, CountedTcp<Counters>>,
+    ) {
+        match update {
+            Update::List(list, query) => {
+                if query == Query::Whole {
+                    owed.told();
+                }
+                self.take_list(list);
+            }
+            Update::Alive => self.replica.borrow_mut().heard(self.now()),
+            Update::Unread(problem) => {
+                log::warn!("relay: passed over: {problem}");
+                self.counters.unread.add(1);
+                owed.lost();
+                subscription.request_soon();
+            }
+            Update::Lost | Update::Ended { .. } => {}
+            Update::Silent(span) => log::warn!("relay: upstream silent for {span:?}"),
+        }
+        if self.replica().wants_whole(self.now()) {
+            subscription.forget_known_list();
+            subscription.request_soon();
+        }
+    }
+
+    fn take_list(&self, list: CompactList) {
+        let unread = list.unread.len() as u64;
+        self.counters.unread.add(unread);
+        let applied = self.replica.borrow_mut().apply(list.into(), self.now());
+        match applied {
+            Ok(applied) => {
+                if applied.changed > 0 {
+                    self.counters.changes.add(1);
+                    log::info!("relay: version {}, {} entries changed", applied.version, applied.changed);
+                }
+                if applied.behind || applied.renumbered {
+                    log::warn!("relay: version {}: upstream is behind, or counts anew", applied.version);
+                }
+            }
+            Err(problem) => log::error!("relay: {problem}"),
+        }
+        self.wake_all();
+    }
+
+    fn note_status(&self, is_current: bool) {
+        let replica = self.replica();
+        if is_current {
+            log::info!("relay: current, version {}, {} nodes", replica.version(), replica.nodes());
+            drop(replica);
+            return self.wake_all();
+        }
+        self.counters.lease_expired.add(1);
+        log::warn!("relay: the lease is over: nothing is told any more; version {}", replica.version());
+    }
+
+    async fn reached(&self, at: Option<f64>) {
+        match at {
+            Some(at) => sleep_until(self.instant(at)).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// One connection, counted until it is dropped.
+pub struct OpenConnection(Rc<Relay>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let left = self.0.open_connections.get() - 1;
+        self.0.open_connections.set(left);
+        if left == 0 {
+            self.0.all_closed.notify_one();
+        }
+    }
+}
+
+/// A number by chance, from the system's source that also seeds hash tables.
+fn drawn_seed() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::counters::Counters;
 use crate::descriptors::Budget;
 use crate::discovery::Directory;
+use crate::discovery::relays::RelayFollower;
 use crate::discovery::schedule::PollSchedule;
 use crate::export;
 use crate::front::block::BlockFront;
@@ -22,6 +23,7 @@
 use crate::ops::{Ops, OpsError};
 use crate::phases::{Phase, Phases};
 use crate::plugin::{Plugin, PluginError};
+use flaxgap_distribution::selection::RelayListError;
 use flaxgap_membership::Source;
 use flaxgap_membership::wire::List;
 use std::io;
@@ -70,6 +72,9 @@
     /// The operators' file can't be used.
     #[error(transparent)]
     Ops(#[from] OpsError),
+    /// Relays that can't be followed.
+    #[error("relays: {0}")]
+    Relays(#[from] RelayListError),
     /// Settings that can't be served.
     #[error(transparent)]
     Settings(#[from] crate::api::SettingsError),
@@ -119,6 +124,7 @@
         let read = config.map_err(|problem| problem.to_string()).and_then(|config| {
             let levels = ops.and_then(|ops| {
                 ops.http2()?;
+                ops.distribution()?;
                 Ok((ops.levels(&config.notes)?, ops))
             });
             levels.map_err(|problem| problem.to_string()).map(|(levels, ops)| (config, ops, levels))
@@ -184,6 +190,7 @@
         let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let (settings, notes) = (config.settings, config.notes);
         let (level_settings, http2) = (ops.levels(&notes)?, ops.http2()?);
+        let distribution = ops.distribution()?;
         let block = block.map(|path| Target::load(&path, &settings, &notes)).transpose()?;
         let dispatcher = Dispatcher::new(settings.clone(), config.seed, Clock::start(), counters.clone())?;
         let budget = Budget::new(config.limits.descriptors(), counters.clone());
@@ -208,7 +215,7 @@
             PollSchedule::new(
                 settings.hosts,
                 config.seed,
-                settings.ask_every.is_some(),
+                settings.ask_every.is_some() || distribution.is_some(),
                 crate::core::seconds(notes.drain_grace),
             ),
         );
@@ -309,7 +316,14 @@
                 phases.enter(Phase::Ready);
             }
         };
-        let list = spawn_local(obtain_list(directory, config.known, discovery, serve));
+        let list_source = match distribution {
+            None => ListSource::Discovery(discovery),
+            Some(relays) => {
+                let name = &running.name;
+                ListSource::Relays(RelayFollower::new(directory.clone(), name, &relays, config.seed)?)
+            }
+        };
+        let list = spawn_local(obtain_list(directory, config.known, list_source, serve));
 
         let told = async {
             loop {
@@ -418,11 +432,19 @@
     Ok(listener)
 }
 
-/// Gets the node list, from discovery or else from the earlier life, then follows its changes.
+/// Where the head has its node list from.
+enum ListSource {
+    /// Discovery, at the address that the configuration names.
+    Discovery(watch::Receiver<SocketAddr>),
+    /// Relays.
+    Relays(RelayFollower),
+}
+
+/// Gets the node list, from its source or else from the earlier life, then follows its changes.
 async fn obtain_list(
     directory: Rc<Directory>,
     known: Option<serde_json::Value>,
-    discovery: watch::Receiver<SocketAddr>,
+    source: ListSource,
     serve: impl FnOnce(),
 ) {
     let known = known.and_then(|known| match List::from_value(known) {
@@ -441,13 +463,26 @@
         if !stands {
             directory.heard().await;
         } else if timeout(directory.start_patience(), directory.heard()).await.is_err() {
-            log::warn!("daemon: in service with the list of an earlier life");
+            log::warn!("daemon: in service with the list of an earlier life{}", standing(&directory));
         }
         serve();
         std::future::pending::<()>().await;
     };
+    let follow = async {
+        match source {
+            ListSource::Discovery(address) => directory.follow(address, stands).await,
+            ListSource::Relays(follower) => follower.run().await,
+        }
+    };
     tokio::select! {
         () = ready => {}
-        () = directory.follow(discovery, stands) => {}
+        () = follow => {}
     }
 }
+
+/// What the log says of an earlier list where relays are followed.
+fn standing(directory: &Directory) -> String {
+    let Some(relays) = directory.relays_reachable() else { return String::new() };
+    let relays = if relays == 0 { "no relay is reachable".into() } else { format!("{relays} relays speak") };
+    format!(": version {}, read {:?} ago; {relays}", directory.version(), directory.list_age())
+}
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -20,7 +20,7 @@
 use flaxgap_membership::values::{Value, ValueError, Values};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
@@ -56,6 +56,9 @@
     /// The request could not be worded.
     #[error("request: {0}")]
     Request(#[from] hyper::http::Error),
+    /// It asks to be called again later.
+    #[error("busy for {0:?}")]
+    Busy(Duration),
     /// It answered with another status than 200.
     #[error("status {0}")]
     Status(StatusCode),
@@ -81,7 +84,7 @@
     fn dial(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
-pub use counted::CountedTcp;
+pub use counted::{CountedTcp, Traffic};
 
 /// What a call asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +108,13 @@
     Lost,
     /// Nothing was heard for so long; reported once until something is heard again.
     Silent(Duration),
+    /// A call of a subscription that does not try again has ended.
+    Ended {
+        /// Whether it had been answered with 200.
+        opened: bool,
+        /// Why it ended, where that was not what it was made for.
+        problem: Option<CallError>,
+    },
 }
 
 /// What a call's task reports.
@@ -168,9 +178,15 @@
     last_message: Instant,
     silent: bool,
     complained: bool,
+    retries: bool,
 }
 
 impl<'a, D: Dial> Subscription<'a, D> {
+    /// Begins with a call at once, and leaves it to its owner what is done once a call has ended.
+    pub fn without_retries(dial: D, address: SocketAddr, schedule: &'a PollSchedule) -> Subscription<'a, D> {
+        Subscription { retries: false, ..Subscription::new(dial, address, schedule) }
+    }
+
     /// Begins with a call at once.
     pub fn new(dial: D, address: SocketAddr, schedule: &'a PollSchedule) -> Subscription<'a, D> {
         let now = Instant::now();
@@ -190,6 +206,7 @@
             last_message: now,
             silent: false,
             complained: false,
+            retries: true,
         }
     }
 
@@ -283,6 +300,9 @@
                 if stood || problem.is_some() {
                     self.droppable.set(None);
                 }
+                if !self.retries {
+                    return Some(Update::Ended { opened, problem });
+                }
                 if let Some(problem) = &problem {
                     // An agent that is asked often is not complained of each time.
                     let level = if self.complained { log::Level::Debug } else { log::Level::Warn };
@@ -487,9 +507,13 @@
     };
     let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
-    match response.status() {
-        StatusCode::OK => Ok((response, guard)),
-        other => Err(CallError::Status(other)),
+    let later = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
+    match (response.status(), later) {
+        (StatusCode::OK, _) => Ok((response, guard)),
+        (StatusCode::SERVICE_UNAVAILABLE, Some(seconds)) => {
+            Err(CallError::Busy(Duration::from_secs(seconds)))
+        }
+        (other, _) => Err(CallError::Status(other)),
     }
 }
 
--- a/src/discovery/client/counted.rs
+++ b/src/discovery/client/counted.rs
@@ -14,29 +14,59 @@
 /// has not come in full by then. A list of 1.3 MB takes some 40 round trips.
 const RECEIVE_BUFFER: u32 = 32 * 1024;
 
+/// Counts what the calls to a source of the list take.
+pub trait Traffic: 'static {
+    /// A connection is begun.
+    fn add_call(&self);
+    /// So many bytes were read.
+    fn add_received(&self, bytes: u64);
+    /// So many bytes were written.
+    fn add_sent(&self, bytes: u64);
+}
+
+impl Traffic for Counters {
+    fn add_call(&self) {
+        self.discovery_calls.add();
+    }
+
+    fn add_received(&self, bytes: u64) {
+        self.discovery_bytes_received.add_many(bytes);
+    }
+
+    fn add_sent(&self, bytes: u64) {
+        self.discovery_bytes_sent.add_many(bytes);
+    }
+}
+
 /// Connects over TCP.
-#[derive(Clone)]
-pub struct CountedTcp(pub Rc<Counters>);
+pub struct CountedTcp<T>(pub Rc<T>);
+
+impl<T> Clone for CountedTcp<T> {
+    fn clone(&self) -> CountedTcp<T> {
+        CountedTcp(self.0.clone())
+    }
+}
 
-impl Dial for CountedTcp {
-    type Stream = CountedStream;
+impl<T: Traffic> Dial for CountedTcp<T> {
+    type Stream = CountedStream<T>;
 
-    async fn dial(&self, address: SocketAddr) -> io::Result<CountedStream> {
-        self.0.discovery_calls.add();
+    async fn dial(&self, address: SocketAddr) -> io::Result<CountedStream<T>> {
+        self.0.add_call();
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
         let stream = socket.connect(address).await?;
-        Ok(CountedStream { stream, counters: self.0.clone() })
+        stream.set_nodelay(true)?;
+        Ok(CountedStream { stream, traffic: self.0.clone() })
     }
 }
 
 /// A connection whose bytes are counted as they are read and written.
-pub struct CountedStream {
+pub struct CountedStream<T> {
     stream: TcpStream,
-    counters: Rc<Counters>,
+    traffic: Rc<T>,
 }
 
-impl AsyncRead for CountedStream {
+impl<T: Traffic> AsyncRead for CountedStream<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -44,15 +74,15 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.counters.discovery_bytes_received.add_many((buf.filled().len() - before) as u64);
+        self.traffic.add_received((buf.filled().len() - before) as u64);
         Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl<T: Traffic> AsyncWrite for CountedStream<T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.counters.discovery_bytes_sent.add_many(written as u64);
+        self.traffic.add_sent(written as u64);
         Poll::Ready(Ok(written))
     }
 
--- a/src/discovery/directory.rs
+++ b/src/discovery/directory.rs
@@ -1,12 +1,14 @@
 //! Discovery: the whole node list, then a watch on its changes, for as long as the program runs.
 
-use super::client::{CountedTcp, Query, Subscription, Update};
+use super::client::{CountedTcp, Dial, Query, Subscription, Update};
 use crate::api::*;
 use crate::bans::Bans;
-use crate::core::Dispatcher;
+use crate::core::{Clock, Dispatcher};
 use crate::counters::Counters;
 use crate::discovery::schedule::PollSchedule;
+use crate::discovery::whole::Whole;
 use crate::node::{Nodes, Place};
+use flaxgap_distribution::intake::Intake;
 use flaxgap_membership::compact::CompactList;
 use flaxgap_membership::wire::State;
 use flaxgap_membership::{Membership, Node, NodeChange, Source};
@@ -18,8 +20,6 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-/// How often a line that can't be read is made up for by the whole list before what was known has to do.
-const MAKE_UP: usize = 3;
 /// Of the parts of one list that can't be read, so many are logged.
 const LOGGED: usize = 8;
 
@@ -37,6 +37,8 @@
     /// When a list last changed something, and when its source was last heard.
     changed: Cell<Instant>,
     last_message: Cell<Instant>,
+    /// How many relays speak; none where the head follows no relays.
+    relays_reachable: Cell<Option<usize>>,
 }
 
 impl Directory {
@@ -62,6 +64,7 @@
             schedule,
             changed,
             last_message,
+            relays_reachable: Cell::new(None),
         })
     }
 
@@ -78,18 +81,20 @@
 
     /// How many nodes are on the list, and how many of them get no work; for how many seconds the list has stood as it is,
     /// and for how many its source has said nothing.
-    pub fn gauges(&self) -> [(&'static str, usize); 4] {
+    pub fn gauges(&self) -> Vec<(&'static str, usize)> {
         let membership = self.membership.borrow();
         let banned = self.bans.names().into_iter().filter(|name| self.bans.holds(name));
         let ready = |name: &String| membership.node(name).is_some_and(|node| node.state == State::Ready);
         let excluded = membership.len() - membership.ready() + banned.filter(ready).count();
         let seconds = |at: &Cell<Instant>| at.get().elapsed().as_secs() as usize;
-        [
+        let mut gauges = vec![
             ("bricks_known", membership.len()),
             ("bricks_excluded", excluded),
             ("list_age_seconds", seconds(&self.changed)),
             ("discovery_silent_seconds", seconds(&self.last_message)),
-        ]
+        ];
+        gauges.extend(self.relays_reachable.get().map(|relays| ("relays_reachable", relays)));
+        gauges
     }
 
     /// Takes a node out by hand, or calls it back; false for one that was never listed.
@@ -185,16 +190,16 @@
         if known {
             sleep(self.schedule.first()).await;
         }
-        let mut told = if known { Source::at(self.membership.borrow().version()) } else { Source::default() };
+        let mut since = if known { self.version() } else { 0 };
         let mut whole = Whole::wanted(!known);
         loop {
             let address = *source.borrow_and_update();
             tokio::select! {
                 biased;
                 () = self.moved(&mut source) => {}
-                () = self.keep(address, told, whole, |_| false) => {}
+                () = self.keep(address, since, whole, |_| false) => {}
             }
-            (told, whole) = (Source::at(self.membership.borrow().version()), Whole::wanted(false));
+            (since, whole) = (self.version(), Whole::wanted(false));
         }
     }
 
@@ -213,7 +218,7 @@
             tokio::select! {
                 biased;
                 _ = source.changed() => {}
-                () = self.keep(address, Source::default(), Whole::wanted(true), caught_up) => {
+                () = self.keep(address, 0, Whole::wanted(true), caught_up) => {
                     let version = self.membership.borrow().version();
                     return log::info!("discovery: now at {address}, version {version}");
                 }
@@ -222,103 +227,147 @@
     }
 
     /// Keeps in touch with one address until what it told is `enough`, which is asked once its list is in.
-    async fn keep(
-        &self,
-        address: SocketAddr,
-        mut told: Source,
-        whole: Whole,
-        enough: impl Fn(&Source) -> bool,
-    ) {
-        let mut subscription = Subscription::new(CountedTcp(self.counters.clone()), address, &self.schedule);
-        let mut behind = false;
+    async fn keep(&self, address: SocketAddr, since: u64, whole: Whole, enough: impl Fn(&Source) -> bool) {
+        let mut subscription = Subscription::new(self.dial(), address, &self.schedule);
+        let mut progress = Progress { whole, ..Progress::since(address, since) };
         loop {
-            let anew = told.counts_anew(self.dispatcher.clock().now());
-            let cursor = told.cursor();
-            let news = subscription
-                .next(|| if anew || whole.take() { Query::Whole } else { Query::Since(cursor) })
-                .await;
-            if matches!(news, Update::List(..) | Update::Alive) {
-                self.last_message.set(Instant::now());
-                self.counters.discovery_messages.add();
+            let update = self.next_update(&mut subscription, &mut progress).await;
+            let is_list = matches!(update, Update::List(..));
+            self.take_update(update, &mut progress, &mut subscription);
+            if is_list && !progress.whole.is_wanted() && enough(progress.intake.source()) {
+                return;
             }
-            match news {
-                Update::List(list, ask) => {
-                    if ask == Query::Whole {
-                        whole.told();
-                    }
-                    if !list.is_empty() || list.rev != cursor {
-                        let kind = match (ask, list.all) {
-                            (Query::Whole, _) => "asked for",
-                            (_, true) => "whole",
-                            (_, false) => "changes",
-                        };
-                        log::info!("discovery: version {}, {} entries, {kind}", list.rev, list.len());
-                    }
-                    self.apply(list, &mut told, ListKind::Changes);
-                    if !std::mem::replace(&mut behind, told.is_behind()) && behind {
-                        let (version, known) = (told.cursor(), self.membership.borrow().version());
-                        log::warn!("discovery: {address} is at version {version}, behind {known}");
-                    }
-                    if !whole.is_wanted() && enough(&told) {
-                        return;
-                    }
-                }
-                Update::Alive => {}
-                Update::Unread(problem) => {
-                    log::warn!("discovery: passed over: {problem}");
-                    self.counters.bad_input.add();
-                    whole.lost();
-                    subscription.request_soon();
-                }
-                Update::Lost => self.counters.watches_lost.add(),
-                Update::Silent(span) => {
-                    let (version, age) = (self.membership.borrow().version(), self.changed.get().elapsed());
-                    log::warn!(
-                        "discovery: {address} silent for {span:?}; the list is at version {version}, told {age:?} ago"
-                    );
-                }
+        }
+    }
+
+    /// Waits for what a subscription tells next; calls that fall due meanwhile ask for what is missing.
+    pub(super) async fn next_update<D: Dial>(
+        &self,
+        subscription: &mut Subscription<'_, D>,
+        progress: &mut Progress,
+    ) -> Update {
+        let anew = progress.intake.wants_whole(self.dispatcher.clock().now());
+        let cursor = progress.intake.source().cursor();
+        let query = || if anew || progress.whole.take() { Query::Whole } else { Query::Since(cursor) };
+        let update = subscription.next(query).await;
+        if matches!(update, Update::List(..) | Update::Alive) {
+            self.last_message.set(Instant::now());
+            self.counters.discovery_messages.add();
+        }
+        update
+    }
+
+    /// Takes in what a subscription told.
+    pub(super) fn take_update<D: Dial>(
+        &self,
+        update: Update,
+        progress: &mut Progress,
+        subscription: &mut Subscription<'_, D>,
+    ) {
+        match update {
+            Update::List(list, query) => self.take_list(list, query, progress),
+            Update::Alive => {}
+            Update::Unread(problem) => {
+                log::warn!("discovery: passed over: {problem}");
+                self.counters.bad_input.add();
+                progress.whole.lost();
+                subscription.request_soon();
             }
-            if told.is_behind() {
-                subscription.forget_known_list();
+            Update::Lost | Update::Ended { opened: true, problem: Some(_) } => {
+                self.counters.watches_lost.add()
             }
-            if told.counts_anew(self.dispatcher.clock().now()) {
-                subscription.request_soon();
+            Update::Ended { .. } => {}
+            Update::Silent(span) => {
+                let (version, age) = (self.version(), self.changed.get().elapsed());
+                log::warn!(
+                    "discovery: {} silent for {span:?}; the list is at version {version}, told {age:?} ago",
+                    progress.address
+                );
             }
         }
+        if progress.intake.source().is_behind() {
+            subscription.forget_known_list();
+        }
+        if progress.intake.wants_whole(self.dispatcher.clock().now()) {
+            subscription.request_soon();
+        }
     }
-}
 
-/// A listed node as module and transport know it, before the operators' bans.
-fn node_info(node: &Node) -> NodeInfo {
-    let state = if node.state == State::Ready { NodeState::Ready } else { NodeState::Draining };
-    let (id, shard, zone) = (NodeId(u64::from(node.id)), ShardId(node.shard), ZoneId(node.zone));
-    NodeInfo { node: id, shard, since: node.boot, zone, state }
-}
+    fn take_list(&self, list: CompactList, query: Query, progress: &mut Progress) {
+        if query == Query::Whole {
+            progress.whole.told();
+        }
+        let told = progress.intake.source();
+        if !list.is_empty() || list.rev != told.cursor() {
+            let kind = match (query, list.all) {
+                (Query::Whole, _) => "asked for",
+                (_, true) => "whole",
+                (_, false) => "changes",
+            };
+            log::info!("discovery: version {}, {} entries, {kind}", list.rev, list.len());
+        }
+        self.apply(list, told, ListKind::Changes);
+        let was_behind = std::mem::replace(&mut progress.behind, told.is_behind());
+        if progress.behind && !was_behind {
+            let (version, known) = (told.cursor(), self.version());
+            log::warn!("discovery: {} is at version {version}, behind {known}", progress.address);
+        }
+    }
+
+    /// The newest version known.
+    pub fn version(&self) -> u64 {
+        self.membership.borrow().version()
+    }
+
+    /// How many relays speak; none where the head follows no relays.
+    pub fn relays_reachable(&self) -> Option<usize> {
+        self.relays_reachable.get()
+    }
 
-/// How often the whole list is to be asked for yet: until it was told, or a few times in place of what could not be read.
-struct Whole(Cell<usize>);
+    /// Notes how many relays speak.
+    pub(super) fn set_relays_reachable(&self, relays: usize) {
+        self.relays_reachable.set(Some(relays));
+    }
 
-impl Whole {
-    fn wanted(wanted: bool) -> Whole {
-        Whole(Cell::new(if wanted { usize::MAX } else { 0 }))
+    /// Connects to a source of the list, and counts what passes.
+    pub(super) fn dial(&self) -> CountedTcp<Counters> {
+        CountedTcp(self.counters.clone())
     }
 
-    fn is_wanted(&self) -> bool {
-        self.0.get() > 0
+    /// The clock that lists are taken in by.
+    pub(super) fn clock(&self) -> Clock {
+        self.dispatcher.clock()
     }
 
-    /// Whether the next call is to ask for it.
-    fn take(&self) -> bool {
-        let left = self.0.get();
-        self.0.set(if left == usize::MAX { left } else { left.saturating_sub(1) });
-        left > 0
+    /// For how long the list has stood as it is.
+    pub fn list_age(&self) -> Duration {
+        self.changed.get().elapsed()
     }
+}
+
+/// How far one source has come with what it tells.
+pub(super) struct Progress {
+    address: SocketAddr,
+    intake: Intake,
+    whole: Whole,
+    behind: bool,
+}
 
-    fn told(&self) {
-        self.0.set(0);
+impl Progress {
+    /// Of a source that is to be asked for what comes after a version.
+    pub(super) fn since(address: SocketAddr, version: u64) -> Progress {
+        Progress { address, intake: Intake::new(version), whole: Whole::wanted(false), behind: false }
     }
 
-    fn lost(&self) {
-        self.0.set(self.0.get().max(MAKE_UP));
+    /// How its lists fit among those of another source that is followed beside it.
+    pub(super) fn intake(&mut self) -> &mut Intake {
+        &mut self.intake
     }
 }
+
+/// A listed node as module and transport know it, before the operators' bans.
+fn node_info(node: &Node) -> NodeInfo {
+    let state = if node.state == State::Ready { NodeState::Ready } else { NodeState::Draining };
+    let (id, shard, zone) = (NodeId(u64::from(node.id)), ShardId(node.shard), ZoneId(node.zone));
+    NodeInfo { node: id, shard, since: node.boot, zone, state }
+}
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -1,7 +1,8 @@
-//! The operators' file: where figures go, which script watches, and the levels of reduced service. Everything in it
-//! is off by default.
+//! The operators' file: where figures go, which script watches, the levels of reduced service, and the relays
+//! that the head follows. Everything in it is off by default.
 
 use crate::config::WireNotes;
+use crate::discovery::relays::settings::{Distribution, DistributionError, DistributionFile};
 use crate::export::{Collectd, Graphite};
 use crate::plugin::PluginConfig;
 use flaxgap_levels::settings::LevelsFile;
@@ -26,6 +27,9 @@
     /// Its front of HTTP/2 can't be.
     #[error("operations file {0}: {1}")]
     Http2(String, Http2Error),
+    /// The relays that it names can't be followed.
+    #[error("operations file {0}: {1}")]
+    Distribution(String, DistributionError),
 }
 
 /// What the file may hold.
@@ -42,6 +46,8 @@
     levels: Option<LevelsFile>,
     /// The front of HTTP/2.
     http2: Option<Http2File>,
+    /// The relays to follow in place of discovery.
+    distribution: Option<DistributionFile>,
     /// Where the file is, and its text.
     #[serde(skip)]
     source: (String, String),
@@ -82,9 +88,17 @@
         settings.map_err(|problem| OpsError::Http2(path.clone(), problem))
     }
 
+    /// The relays that it has the head follow; none where the head follows discovery itself.
+    pub fn distribution(&self) -> Result<Option<Distribution>, OpsError> {
+        let (path, text) = &self.source;
+        let settings = self.distribution.as_ref().map(|file| Distribution::check(file, text)).transpose();
+        settings.map_err(|problem| OpsError::Distribution(path.clone(), problem))
+    }
+
     /// Whether anything but the levels differs.
     pub fn restarts(&self, other: &Ops) -> bool {
         (&self.graphite, &self.collectd, &self.plugin) != (&other.graphite, &other.collectd, &other.plugin)
             || self.http2().ok() != other.http2().ok()
+            || self.distribution().ok() != other.distribution().ok()
     }
 }
--- /dev/null
+++ b/tests/relays.rs
@@ -0,0 +1,520 @@
+//! Relays of the node list between discovery and heads, with the real programs: each fault is brought about, and each
+//! verdict is of one fact. Waits are upper bounds.
+
+mod peers;
+use peers::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Within this time a change at discovery is in force at a head that has a relay; the machine may be busy.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Within this time a head has left a relay that fell silent: 3 s of silence after the last heartbeat, and a move.
+const MOVED: Duration = Duration::from_secs(8);
+/// Within this time a relay that starts empty is current, with discovery at hand.
+const REBUILT: Duration = Duration::from_secs(2);
+
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// A file of this test's own, removed with it.
+struct File(PathBuf);
+
+impl File {
+    fn new(text: &str) -> File {
+        let number = FILES.fetch_add(1, Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("flaxgap-relays-{}-{number}.toml", std::process::id()));
+        std::fs::write(&path, text).expect("written");
+        File(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().expect("a path")
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// A relay as a process.
+struct Relay {
+    name: &'static str,
+    child: Child,
+    address: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Relay {
+    fn start(name: &'static str, upstream: SocketAddr) -> Relay {
+        Relay::start_at(name, ([127, 0, 0, 1], 0).into(), upstream, "")
+    }
+
+    /// The same at an address, with more lines of configuration.
+    fn start_at(name: &'static str, listen: SocketAddr, upstream: SocketAddr, more: &str) -> Relay {
+        let text = format!("name = \"{name}\"\nlisten = \"{listen}\"\nupstream = \"{upstream}\"\n{more}");
+        let file = File::new(&text);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap-relay"));
+        command.arg(file.path()).env("RUST_LOG", "info").stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the relay starts");
+        let from = BufReader::new(child.stderr.take().expect("piped"));
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let lines = log.clone();
+        thread::spawn(move || {
+            from.lines().map_while(Result::ok).for_each(|l| lines.lock().expect("log").push(l))
+        });
+        let mut relay = Relay { name, child, address: listen, log };
+        relay.address = wait(|| {
+            relay.logged("relay: listening on ").and_then(|line| line.rsplit(' ').next()?.parse().ok())
+        });
+        relay
+    }
+
+    /// Waits until it is current.
+    fn current(self) -> Relay {
+        wait(|| (get(self.address, "/-/ready").status() == 200).then_some(()));
+        self
+    }
+
+    fn logged(&self, text: &str) -> Option<String> {
+        self.log.lock().expect("log").iter().find(|line| line.contains(text)).cloned()
+    }
+
+    fn counter(&self, name: &str) -> u64 {
+        let body = get(self.address, "/-/counters").body;
+        let counters: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+        counters[name].as_u64().unwrap_or_else(|| panic!("{name} in {counters}"))
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    fn kill(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("ended");
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("{}:\n{}", self.name, self.log.lock().expect("log").join("\n"));
+        }
+    }
+}
+
+/// The operators' file of a head in zone `r1-a` with these relays, all in its zone.
+fn distribution(relays: &[(&str, SocketAddr)]) -> File {
+    let relays: Vec<String> = relays
+        .iter()
+        .map(|(name, address)| {
+            format!(r#"{{ name = "{name}", address = "{address}", region = "r1", zone = "r1-a" }}"#)
+        })
+        .collect();
+    let relays = relays.join(",\n  ");
+    File::new(&format!("[distribution]\nregion = \"r1\"\nzone = \"r1-a\"\nrelays = [\n  {relays}\n]\n"))
+}
+
+/// An address at which nothing listens.
+fn nowhere() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
+}
+
+/// A head that follows relays; its configured discovery is not there.
+fn head(relays: &[&Relay], known: &str) -> Head {
+    let relays: Vec<(&str, SocketAddr)> = relays.iter().map(|relay| (relay.name, relay.address)).collect();
+    head_at(&relays, known)
+}
+
+fn head_at(relays: &[(&str, SocketAddr)], known: &str) -> Head {
+    let file = distribution(relays);
+    Head::start_text(&config_at(nowhere(), 1024, known), None, &[("FLAXGAP_OPS", file.path())])
+}
+
+fn gauge(head: &Head, name: &str) -> u64 {
+    let (_, text) = call(head.ops, "GET", "/ops/stats");
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("app_{name} ")));
+    line.unwrap_or_else(|| panic!("{name} in {text}")).parse().expect("a number")
+}
+
+/// Asks the head for something that any node of shard 0 has.
+fn ask(head: &Head) -> u16 {
+    Client::new(head.http).ask(&Client::request("play-fetch", "network", 1, 2.0, 0), b"").status()
+}
+
+/// Waits until so many nodes get no work at the head; how long that took.
+fn excluded(head: &Head, count: u64, within: Duration) -> Duration {
+    let since = Instant::now();
+    wait(|| (gauge(head, "bricks_excluded") == count).then_some(()));
+    let took = since.elapsed();
+    assert!(took <= within, "in force after {took:?}");
+    took
+}
+
+/// Whether none of some requests comes to a node.
+fn is_left_alone(head: &Head, brick: &Brick) {
+    let before = brick.seen().len();
+    for _ in 0..12 {
+        assert_eq!(ask(head), 200);
+    }
+    assert_eq!(brick.seen().len(), before, "nothing new goes to a node that leaves");
+}
+
+/// The relay that the head follows first, by its log.
+fn primary(head: &Head) -> String {
+    let text = "relays: primary is ";
+    wait(|| {
+        let log = head.log();
+        let line = log.iter().rev().find(|line| line.contains(text))?;
+        line.split(text).nth(1)?.split([' ', ',']).next().map(String::from)
+    })
+}
+
+fn two_bricks() -> (Brick, Brick) {
+    (Brick::start(|_, _| Step::Serve(vec![])), Brick::start(|_, _| Step::Serve(vec![])))
+}
+
+fn entries(first: (&Brick, &str), second: &Brick) -> Vec<String> {
+    vec![entry("s-1", first.0.address, 0, first.1), entry("s-2", second.address, 0, "ready")]
+}
+
+/// Says each change of a watch as it comes.
+struct Watch(BufReader<TcpStream>);
+
+impl Watch {
+    fn open(address: SocketAddr, since: u64) -> Watch {
+        let mut stream = TcpStream::connect(address).expect("the relay listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let call = format!("GET /api/targets?follow=1&since={since} HTTP/1.1\r\nHost: relay\r\n\r\n");
+        stream.write_all(call.as_bytes()).expect("written");
+        let mut watch = Watch(BufReader::new(stream));
+        assert!(watch.line().expect("an answer").contains("200"));
+        while watch.line().is_some_and(|line| !line.is_empty()) {}
+        watch
+    }
+
+    fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        self.0.read_line(&mut line).ok().filter(|length| *length > 0)?;
+        Some(line.trim_end().to_string())
+    }
+
+    /// The next list's version; none once the watch has ended.
+    fn next_version(&mut self) -> Option<u64> {
+        loop {
+            // Chunk sizes, the ends of chunks and heartbeats are no lists.
+            if let Ok(list) = serde_json::from_str::<serde_json::Value>(&self.line()?) {
+                if let Some(version) = list["rev"].as_u64() {
+                    return Some(version);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_drain_at_discovery_is_in_force_at_a_head_that_follows_a_relay() {
+    let (leaving, staying) = two_bricks();
+    let discovery = Discovery::start(&entries((&leaving, "ready"), &staying));
+    let relay = Relay::start("relay-1", discovery.address).current();
+    let head = head(&[&relay], "null");
+    wait(|| {
+        assert_eq!(ask(&head), 200);
+        (!leaving.seen().is_empty() && !staying.seen().is_empty()).then_some(())
+    });
+    assert_eq!(primary(&head), "relay-1");
+    assert_eq!(gauge(&head, "relays_reachable"), 1);
+    discovery.push(&[entry("s-1", leaving.address, 0, "draining")]);
+    println!("in force after {:?}", excluded(&head, 1, IN_FORCE));
+    is_left_alone(&head, &leaving);
+}
+
+#[test]
+fn a_change_made_while_the_primary_relay_dies_comes_through_the_spare() {
+    for killed_first in [true, false] {
+        let (leaving, staying) = two_bricks();
+        let discovery = Discovery::start(&entries((&leaving, "ready"), &staying));
+        let mut relays = ["relay-1", "relay-2"].map(|name| Relay::start(name, discovery.address).current());
+        let head = head(&[&relays[0], &relays[1]], "null");
+        wait(|| (gauge(&head, "relays_reachable") == 2).then_some(()));
+        let first = primary(&head);
+        let dying = relays.iter_mut().find(|relay| relay.name == first).expect("one of them");
+        let drain = [entry("s-1", leaving.address, 0, "draining")];
+        if killed_first {
+            dying.kill();
+            discovery.push(&drain);
+        } else {
+            discovery.push(&drain);
+            dying.kill();
+        }
+        println!("in force after {:?}", excluded(&head, 1, IN_FORCE));
+        is_left_alone(&head, &leaving);
+        wait(|| (primary(&head) != first).then_some(()));
+        is_left_alone(&head, &leaving);
+        assert_eq!(gauge(&head, "bricks_excluded"), 1, "no older list since");
+    }
+}
+
+#[test]
+fn a_head_leaves_a_relay_whose_upstream_is_silent_past_the_lease() {
+    let (leaving, staying) = two_bricks();
+    let sources = [(), ()].map(|()| Discovery::start(&entries((&leaving, "ready"), &staying)));
+    let relays = [
+        Relay::start("relay-1", sources[0].address).current(),
+        Relay::start("relay-2", sources[1].address).current(),
+    ];
+    let head = head(&[&relays[0], &relays[1]], "null");
+    wait(|| (gauge(&head, "relays_reachable") == 2).then_some(()));
+    let first = primary(&head);
+    let (silent, speaking) = if first == "relay-1" { (0, 1) } else { (1, 0) };
+    sources[silent].cut_off(true);
+    let since = Instant::now();
+    wait(|| (get(relays[silent].address, "/-/ready").status() == 503).then_some(()));
+    assert_eq!(
+        get(relays[silent].address, "/api/targets").status(),
+        503,
+        "it serves no list that may be old"
+    );
+    assert_eq!(get(relays[silent].address, "/api/targets?follow=1&since=1").status(), 503);
+    wait(|| (primary(&head) != first).then_some(()));
+    println!("moved after {:?}", since.elapsed());
+    assert!(since.elapsed() <= 2 * MOVED, "moved after {:?}", since.elapsed());
+    sources[speaking].push(&[entry("s-1", leaving.address, 0, "draining")]);
+    excluded(&head, 1, IN_FORCE);
+    is_left_alone(&head, &leaving);
+    assert_eq!(relays[silent].counter("lease_expired"), 1);
+}
+
+#[test]
+fn a_head_with_an_earlier_list_serves_without_relays_and_is_current_once_one_returns() {
+    let (leaving, staying) = two_bricks();
+    let discovery = Discovery::start(&entries((&leaving, "ready"), &staying));
+    let known =
+        format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries((&leaving, "ready"), &staying).join(","));
+    let addresses = [nowhere(), nowhere()];
+    let head = head_at(&[("relay-1", addresses[0]), ("relay-2", addresses[1])], &known);
+    assert_eq!(ask(&head), 200);
+    let said = wait(|| head.logged("in service with the list of an earlier life"));
+    assert!(said.contains("version 1") && said.contains("no relay is reachable"), "{said}");
+    assert_eq!(gauge(&head, "relays_reachable"), 0);
+    discovery.push(&[entry("s-1", leaving.address, 0, "draining")]);
+    let _relay = Relay::start_at("relay-1", addresses[0], discovery.address, "").current();
+    println!("current after {:?}", excluded(&head, 1, MOVED));
+    is_left_alone(&head, &leaving);
+}
+
+#[test]
+fn a_relay_that_restarts_empty_is_rebuilt_from_discovery() {
+    let (leaving, staying) = two_bricks();
+    let discovery = Discovery::start(&entries((&leaving, "ready"), &staying));
+    let mut relay = Relay::start("relay-1", discovery.address).current();
+    let address = relay.address;
+    let head = head(&[&relay], "null");
+    discovery.push(&[entry("s-1", leaving.address, 0, "draining")]);
+    excluded(&head, 1, IN_FORCE);
+    relay.kill();
+    let since = Instant::now();
+    let relay = Relay::start_at("relay-1", address, discovery.address, "").current();
+    println!("rebuilt after {:?}", since.elapsed());
+    assert!(since.elapsed() <= REBUILT, "rebuilt after {:?}", since.elapsed());
+    assert_eq!(relay.counter("version"), 2);
+    assert_eq!(relay.counter("nodes"), 2);
+    wait(|| (relay.counter("watchers") == 1).then_some(()));
+    discovery.push(&[entry("s-2", staying.address, 0, "draining")]);
+    excluded(&head, 2, IN_FORCE);
+}
+
+#[test]
+fn a_relay_that_starts_before_its_upstream_is_current_soon_after_it() {
+    let address = nowhere();
+    let relay = Relay::start("relay-1", address);
+    assert_eq!(get(relay.address, "/-/ready").status(), 503);
+    assert_eq!(get(relay.address, "/api/targets").status(), 503);
+    thread::sleep(Duration::from_millis(1500));
+    let agent = TcpListener::bind(address).expect("the port is free yet");
+    let since = Instant::now();
+    thread::spawn(move || {
+        for mut stream in agent.incoming().flatten() {
+            let _ = stream.read(&mut [0; 1024]);
+            let list = list(7, true, &[]);
+            let text = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
+            let _ = stream
+                .write_all(format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{text}").as_bytes());
+            thread::sleep(PATIENCE);
+        }
+    });
+    wait(|| (get(relay.address, "/-/ready").status() == 200).then_some(()));
+    println!("found after {:?}", since.elapsed());
+    assert!(since.elapsed() <= REBUILT, "found after {:?}", since.elapsed());
+    assert_eq!(relay.counter("version"), 7);
+}
+
+#[test]
+fn a_watcher_that_does_not_read_is_cut_off_and_others_get_each_change() {
+    let brick: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let many: Vec<String> = (0..4000).map(|n| entry(&format!("s-{n:08}"), brick, n % 8, "ready")).collect();
+    let discovery = Discovery::start(&many);
+    let listen = ([127, 0, 0, 1], 0).into();
+    let limits = "[limits]\nslow_reader_s = 0.5\n";
+    let relay = Relay::start_at("relay-1", listen, discovery.address, limits).current();
+    let mut reading = [Watch::open(relay.address, 0), Watch::open(relay.address, 0)];
+    assert!(reading.iter_mut().all(|watch| watch.next_version() == Some(1)));
+    let mut stuck = Client::with_little_room(relay.address);
+    stuck.send("GET /api/targets?follow=1&since=0 HTTP/1.1\r\nHost: relay\r\n\r\n", b"");
+    wait(|| (relay.counter("watchers") == 3).then_some(()));
+    let since = Instant::now();
+    for version in 2..=6 {
+        discovery.push(&[entry("s-00000001", brick, 1, "draining")]);
+        assert!(reading.iter_mut().all(|watch| watch.next_version() == Some(version)));
+        thread::sleep(Duration::from_millis(100));
+    }
+    wait(|| (relay.counter("slow_readers_ended") == 1).then_some(()));
+    println!("cut off after {:?}", since.elapsed());
+    wait(|| (relay.counter("watchers") == 2).then_some(()));
+    discovery.push(&[entry("s-00000001", brick, 1, "gone")]);
+    assert!(reading.iter_mut().all(|watch| watch.next_version() == Some(7)));
+    assert_eq!(relay.counter("nodes"), 3999);
+    assert_eq!(relay.counter("slow_readers_ended"), 1, "and no other");
+}
+
+#[test]
+fn watches_resume_from_the_version_they_have() {
+    let (leaving, staying) = two_bricks();
+    let discovery = Discovery::start(&entries((&leaving, "ready"), &staying));
+    let relay = Relay::start("relay-1", discovery.address).current();
+    for _ in 0..3 {
+        discovery.push(&[entry("s-1", leaving.address, 0, "draining")]);
+    }
+    wait(|| (relay.counter("version") == 4).then_some(()));
+    let before = relay.counter("whole_sent");
+    let mut watch = Watch::open(relay.address, 2);
+    while watch.next_version().expect("the changes") < 4 {}
+    assert_eq!(relay.counter("resumed"), 1);
+    assert_eq!(relay.counter("whole_sent"), before);
+}
+
+#[test]
+fn sigterm_ends_the_watches_and_the_head_moves() {
+    let (leaving, staying) = two_bricks();
+    let discovery = Discovery::start(&entries((&leaving, "ready"), &staying));
+    let mut relays = ["relay-1", "relay-2"].map(|name| Relay::start(name, discovery.address).current());
+    let head = head(&[&relays[0], &relays[1]], "null");
+    wait(|| (gauge(&head, "relays_reachable") == 2).then_some(()));
+    let first = primary(&head);
+    let ending = relays.iter_mut().find(|relay| relay.name == first).expect("one of them");
+    ending.signal("-USR1");
+    wait(|| ending.logged("\"watchers\":1"));
+    ending.signal("-TERM");
+    assert!(wait(|| ending.child.try_wait().expect("a child")).success());
+    wait(|| (primary(&head) != first).then_some(()));
+    discovery.push(&[entry("s-1", leaving.address, 0, "draining")]);
+    excluded(&head, 1, IN_FORCE);
+}
+
+/// Starts a program that must end with an error; its exit code and what it said.
+fn fails(command: &mut Command) -> (Option<i32>, String) {
+    let Output { status, stderr, .. } = command.stderr(Stdio::piped()).output().expect("it starts");
+    (status.code(), String::from_utf8_lossy(&stderr).into_owned())
+}
+
+#[test]
+fn a_bad_configuration_of_a_relay_ends_its_start_with_the_place() {
+    let good = "name = \"relay-1\"\nlisten = \"127.0.0.1:0\"\nupstream = \"127.0.0.1:9\"\n";
+    let bad = [
+        (good.replace("127.0.0.1:9", "nowhere"), "line 3"),
+        (good.replace("127.0.0.1:9", "127.0.0.1:0"), "line 3: upstream: needs a port"),
+        (good.replace("relay-1", " "), "line 1: name: must not be empty"),
+        (good.replace("upstream", "downstream"), "downstream"),
+        (format!("{good}[limits]\nwatchers = 0\n"), "line 5: limits.watchers: 0 is not from 1 to"),
+        (format!("{good}[limits]\nslow_reader_s = -1.0\n"), "line 5: limits.slow_reader_s: -1 is not from"),
+        (format!("{good}[limits]\nspeed = 1\n"), "speed"),
+    ];
+    for (text, told) in bad {
+        let file = File::new(&text);
+        let (code, said) = fails(Command::new(env!("CARGO_BIN_EXE_flaxgap-relay")).arg(file.path()));
+        assert_eq!(code, Some(1), "{text}");
+        assert!(said.contains(told) && said.contains(file.path()), "{told} in {said}");
+    }
+    let (code, said) = fails(Command::new(env!("CARGO_BIN_EXE_flaxgap-relay")).arg("no/such/file.toml"));
+    assert!(code == Some(1) && said.contains("no/such/file.toml"), "{said}");
+}
+
+#[test]
+fn a_bad_distribution_ends_the_start_of_a_head_with_the_place() {
+    let relay = |name: &str, address: &str, zone: &str| {
+        format!(r#"{{ name = "{name}", address = "{address}", region = "r1", zone = "{zone}" }}"#)
+    };
+    let table = |relays: &[String]| {
+        format!("[distribution]\nregion = \"r1\"\nzone = \"r1-a\"\nrelays = [{}]\n", relays.join(",\n"))
+    };
+    let good = relay("relay-1", "127.0.0.1:9", "r1-a");
+    let bad = [
+        (table(&[]), "line 4: distribution.relays: names no relay"),
+        (
+            table(&[good.clone(), relay("relay-1", "127.0.0.1:10", "r1-a")]),
+            "line 5: distribution.relays[1].name: is another",
+        ),
+        (
+            table(&[good.clone(), relay("relay-2", "127.0.0.1:9", "r1-a")]),
+            "line 5: distribution.relays[1].address: is another",
+        ),
+        (table(&[relay("relay-1", "127.0.0.1:0", "r1-a")]), "relays[0].address: needs a port"),
+        (table(&[relay("relay-1", "127.0.0.1", "r1-a")]), "line 4"),
+        (table(&[relay("relay-1", "127.0.0.1:9", "")]), "relays[0].zone: must not be empty"),
+        (
+            table(&[good.clone()]).replace("zone = \"r1-a\"\nrelays", "zone = \"\"\nrelays"),
+            "line 3: distribution.zone: must not be empty",
+        ),
+        (table(&[good]).replace("region = \"r1\"\nzone", "zone"), "region"),
+    ];
+    for (text, told) in bad {
+        let (file, settings) = (File::new(&text), File::new(&config_at(nowhere(), 1024, "null")));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap"));
+        command.env("LB_CONFIG", settings.path()).env("FLAXGAP_OPS", file.path()).env_remove("LB_OPS");
+        let (code, said) = fails(&mut command);
+        assert_eq!(code, Some(1), "{text}");
+        assert!(said.contains(told) && said.contains(file.path()), "{told} in {said}");
+    }
+}
+
+#[test]
+fn a_reload_that_changes_the_distribution_says_that_it_takes_a_restart() {
+    let (leaving, staying) = two_bricks();
+    let discovery = Discovery::start(&entries((&leaving, "ready"), &staying));
+    let relay = Relay::start("relay-1", discovery.address).current();
+    let file = distribution(&[("relay-1", relay.address)]);
+    let text = config_at(nowhere(), 1024, "null");
+    let head = Head::start_text(&text, None, &[("FLAXGAP_OPS", file.path())]);
+    head.reload(&text);
+    wait(|| head.logged("daemon: reloaded"));
+    assert!(head.logged("takes a restart").is_none());
+    let other = distribution(&[("relay-1", relay.address), ("relay-2", nowhere())]);
+    std::fs::copy(&other.0, &file.0).expect("written");
+    head.signal("-HUP");
+    wait(|| head.logged("the operators' file, but for its levels, changed, which takes a restart"));
+}
+
+/// Every file under `deploy` is one that the programs start with.
+#[test]
+fn the_example_configuration_is_served() {
+    let text = std::fs::read_to_string("deploy/relay.toml").expect("the example");
+    let text = text.replace("0.0.0.0:8087", "127.0.0.1:0");
+    let file = File::new(&text);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap-relay"));
+    let mut child = command.arg(file.path()).stderr(Stdio::piped()).spawn().expect("it starts");
+    let from = BufReader::new(child.stderr.take().expect("piped"));
+    let listens = from.lines().map_while(Result::ok).any(|line| line.contains("relay: listening on "));
+    let _ = child.kill();
+    let _ = child.wait();
+    assert!(listens);
+}
