--- a/src/bin/flaxgap-relay/http.rs
+++ b/src/bin/flaxgap-relay/http.rs
@@ -24,9 +24,9 @@
 /// Longest head of a call, and how much of an answer a connection takes ahead of what the socket has room for: a
 /// watcher that does not read is noticed by what stays behind that.
 const CONNECTION_BUFFER: usize = 16 * 1024;
-/// What the system may hold for one watcher, in bytes. Left to itself it holds some MiB for one that does not read; this
-/// is a second of the whole list's admitted rate over a distance of 5 ms.
-const SEND_BUFFER: usize = 256 * 1024;
+/// What the system may hold for one watcher, in bytes, of which it takes twice as much for its own use. Left to itself it
+/// holds some MiB for one that does not read. Over 30 ms between regions it lets 4 MB/s through.
+const SEND_BUFFER: usize = 128 * 1024;
 /// After so long without a word from a watcher's system that what was sent has come, its connection has failed.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(10);
 
--- a/src/bin/flaxgap-relay/relay.rs
+++ b/src/bin/flaxgap-relay/relay.rs
@@ -75,6 +75,7 @@
     admission_changed: Notify,
     /// Calls that are being answered from the copy, watches among them.
     sessions: RefCell<HashMap<u64, (Kind, Rc<Handle>)>>,
+    watches: Cell<usize>,
     tickets: RefCell<BTreeMap<Ticket, Rc<Handle>>>,
     began: Cell<u64>,
     counters: Rc<Counters>,
@@ -94,6 +95,7 @@
             admission: RefCell::new(Admission::new(sends, drawn_seed())),
             admission_changed: Notify::new(),
             sessions: RefCell::default(),
+            watches: Cell::new(0),
             tickets: RefCell::default(),
             began: Cell::new(0),
             counters: Rc::default(),
@@ -109,16 +111,24 @@
         let (mut terminate, mut interrupt) =
             (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let mut report = signal(SignalKind::user_defined1())?;
+        let mut reload = signal(SignalKind::hangup())?;
         let log_reports = async {
             while report.recv().await.is_some() {
                 log::info!("relay: {}", self.report());
             }
         };
+        // Heads read their files again on SIGHUP; a relay must not end by a habit.
+        let refuse_reloads = async {
+            while reload.recv().await.is_some() {
+                log::warn!("relay: SIGHUP: another configuration takes a restart");
+            }
+        };
         tokio::select! {
             () = http::listen(&self, &listener) => {}
             () = self.follow() => {}
             () = self.admit() => {}
             () = log_reports => {}
+            () = refuse_reloads => {}
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
@@ -198,7 +208,7 @@
             version: replica.version(),
             generation: replica.generation(),
             nodes: replica.nodes(),
-            watchers: self.watches(),
+            watchers: self.watches.get(),
             whole_sending: self.admission.borrow().sending(),
             whole_waiting: self.admission.borrow().waiting(),
             log_changes: replica.log().len(),
@@ -228,7 +238,7 @@
         handle: &Rc<Handle>,
     ) -> Result<Rc<Session>, Unavailable> {
         self.availability()?;
-        if kind == Kind::Watch && self.watches() >= self.settings.watchers {
+        if kind == Kind::Watch && self.watches.get() >= self.settings.watchers {
             return Err(Unavailable::Full(self.settings.watchers));
         }
         let watcher = Watcher::new(since, self.replica().generation(), self.now());
@@ -242,21 +252,20 @@
         Ok(session)
     }
 
-    fn watches(&self) -> usize {
-        self.sessions.borrow().values().filter(|(kind, _)| *kind == Kind::Watch).count()
-    }
-
     /// Notes a session; gives its number.
     pub fn register(&self, kind: Kind, handle: &Rc<Handle>) -> u64 {
         let number = self.began.get();
         self.began.set(number + 1);
         self.sessions.borrow_mut().insert(number, (kind, handle.clone()));
+        self.watches.set(self.watches.get() + usize::from(kind == Kind::Watch));
         number
     }
 
     /// A session has ended.
     pub fn unregister(&self, number: u64) {
-        self.sessions.borrow_mut().remove(&number);
+        if let Some((Kind::Watch, _)) = self.sessions.borrow_mut().remove(&number) {
+            self.watches.set(self.watches.get() - 1);
+        }
     }
 
     fn wake_all(&self) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -320,7 +320,12 @@
             None => ListSource::Discovery(discovery),
             Some(relays) => {
                 let name = &running.name;
-                ListSource::Relays(RelayFollower::new(directory.clone(), name, &relays, config.seed)?)
+                ListSource::Relays(Box::new(RelayFollower::new(
+                    directory.clone(),
+                    name,
+                    &relays,
+                    config.seed,
+                )?))
             }
         };
         let list = spawn_local(obtain_list(directory, config.known, list_source, serve));
@@ -437,7 +442,7 @@
     /// Discovery, at the address that the configuration names.
     Discovery(watch::Receiver<SocketAddr>),
     /// Relays.
-    Relays(RelayFollower),
+    Relays(Box<RelayFollower>),
 }
 
 /// Gets the node list, from its source or else from the earlier life, then follows its changes.
