--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -264,6 +264,32 @@
     }
 }
 
+#[test]
+fn a_head_that_loses_its_relay_takes_no_older_list_from_one_that_is_behind() {
+    let (leaving, staying) = two_bricks();
+    let sources = [(), ()].map(|()| Discovery::start(&entries((&leaving, "ready"), &staying)));
+    let mut relays = [
+        Relay::start("relay-1", sources[0].address).current(),
+        Relay::start("relay-2", sources[1].address).current(),
+    ];
+    let head = head(&[&relays[0], &relays[1]], "null");
+    wait(|| (gauge(&head, "relays_reachable") == 2).then_some(()));
+    let ahead = usize::from(primary(&head) == "relay-2");
+    // The other relay's source never hears of it.
+    sources[ahead].push(&[entry("s-1", leaving.address, 0, "draining")]);
+    excluded(&head, 1, IN_FORCE);
+    relays[ahead].kill();
+    wait(|| (gauge(&head, "relays_reachable") == 1).then_some(()));
+    let before = leaving.seen().len();
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(4) {
+        assert_eq!(ask(&head), 200);
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(leaving.seen().len(), before, "the older list does not bring it back");
+    assert_eq!(gauge(&head, "bricks_excluded"), 1);
+}
+
 #[test]
 fn a_head_leaves_a_relay_whose_upstream_is_silent_past_the_lease() {
     let (leaving, staying) = two_bricks();
