A test of relays borrows its one entry instead of cloning it

Cause: the linter refuses a clone into a slice of one. Change: a slice from a reference. Measured: clippy over the workspace, with all targets.

--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -498,7 +498,7 @@
         (table(&[relay("relay-1", "127.0.0.1", "r1-a")]), "line 4"),
         (table(&[relay("relay-1", "127.0.0.1:9", "")]), "relays[0].zone: must not be empty"),
         (
-            table(&[good.clone()]).replace("zone = \"r1-a\"\nrelays", "zone = \"\"\nrelays"),
+            table(std::slice::from_ref(&good)).replace("zone = \"r1-a\"\nrelays", "zone = \"\"\nrelays"),
             "line 3: distribution.zone: must not be empty",
         ),
         (table(&[good]).replace("region = \"r1\"\nzone", "zone"), "region"),
