--- a/src/discovery/client/counted.rs
+++ b/src/discovery/client/counted.rs
@@ -14,6 +14,10 @@
 /// has not come in full by then. A list of 1.3 MB takes some 40 round trips.
 const RECEIVE_BUFFER: u32 = 32 * 1024;
 
+/// So many bytes are read before more are: the head of an answer and the first fields of a list, by which most whole lists
+/// are dropped.
+const FIRST_BYTES: usize = 512;
+
 /// Counts what the calls to a source of the list take.
 pub trait Traffic: 'static {
     /// A connection is begun.
@@ -56,7 +60,7 @@
         socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(CountedStream { stream, traffic: self.0.clone() })
+        Ok(CountedStream { stream, traffic: self.0.clone(), first_bytes: FIRST_BYTES })
     }
 }
 
@@ -64,6 +68,19 @@
 pub struct CountedStream<T> {
     stream: TcpStream,
     traffic: Rc<T>,
+    /// What is left of [`FIRST_BYTES`].
+    first_bytes: usize,
+}
+
+impl<T> CountedStream<T> {
+    fn poll_first_bytes(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; FIRST_BYTES];
+        let mut first = ReadBuf::new(&mut bytes[..self.first_bytes.min(buf.remaining())]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut first))?;
+        buf.put_slice(first.filled());
+        self.first_bytes -= first.filled().len();
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl<T: Traffic> AsyncRead for CountedStream<T> {
@@ -73,7 +90,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        match self.first_bytes {
+            0 => ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?,
+            _ => ready!(self.poll_first_bytes(cx, buf))?,
+        }
         self.traffic.add_received((buf.filled().len() - before) as u64);
         Poll::Ready(Ok(()))
     }
--- /dev/null
+++ b/tests/large_lists.rs
@@ -0,0 +1,201 @@
+//! A head among 4,200 before 7,100 nodes: what a change, a whole list and an idle second of control cost it.
+//! `cargo test --release --test large_lists -- --nocapture` prints the figures.
+
+mod peers;
+use peers::*;
+
+use flaxgap::api::*;
+use flaxgap::bans::Bans;
+use flaxgap::content::Payload;
+use flaxgap::core::{Clock, Dispatcher, Envelope, Permit, Transport, Verb};
+use flaxgap::counters::Counters;
+use flaxgap::descriptors::Budget;
+use flaxgap::discovery::Directory;
+use flaxgap::discovery::schedule::PollSchedule;
+use flaxgap::memory::Memory;
+use flaxgap::node::Nodes;
+use flaxgap_membership::Source;
+use flaxgap_membership::compact::CompactList;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const NODES: usize = 7100;
+const DRAINED: usize = 888;
+
+/// Nodes that nothing listens at.
+fn node_entry(n: usize, state: &str) -> String {
+    let address = ([127, 1 + (n >> 16) as u8, (n >> 8) as u8, n as u8], 9).into();
+    entry(&format!("s-{n:08x}"), address, n as u32, state)
+}
+
+fn entries(state: impl Fn(usize) -> &'static str) -> Vec<String> {
+    (0..NODES).map(|n| node_entry(n, state(n))).collect()
+}
+
+fn parsed(rev: u64, all: bool, entries: &[String]) -> CompactList {
+    CompactList::parse(list(rev, all, entries).as_bytes()).expect("a list")
+}
+
+/// A directory with the core and the transport that it feeds, without a socket.
+struct View {
+    directory: Rc<Directory>,
+    nodes: Rc<Nodes>,
+    counters: Rc<Counters>,
+    source: Source,
+}
+
+impl View {
+    /// One that holds all nodes as ready.
+    fn full() -> View {
+        let (settings, notes) = flaxgap::config::read(SETTINGS.as_bytes()).expect("settings");
+        let counters = Counters::new(&notes.class_names);
+        let budget = Budget::new(100, counters.clone());
+        let nodes = Nodes::new(budget, Memory::new(64), counters.clone(), 0.5, 15.0, 1);
+        let dispatcher = Dispatcher::new(settings, 1, Clock::start(), counters.clone()).expect("served");
+        let schedule = PollSchedule::new(4200, 1, false, Duration::from_millis(250));
+        let bans = Rc::new(Bans::load(None, "n0"));
+        let zones = vec!["a".into()];
+        let directory = Directory::new(dispatcher, nodes.clone(), counters.clone(), bans, zones, schedule);
+        let mut view = View { directory, nodes, counters, source: Source::default() };
+        view.apply(parsed(1, true, &entries(|_| "ready")));
+        assert_eq!(view.known_and_excluded(), (NODES, 0));
+        view
+    }
+
+    fn apply(&mut self, list: CompactList) -> Duration {
+        let began = Instant::now();
+        self.directory.apply(list, &mut self.source, ListKind::Changes);
+        began.elapsed()
+    }
+
+    fn known_and_excluded(&self) -> (usize, usize) {
+        let gauges = self.directory.gauges();
+        (gauges[0].1, gauges[1].1)
+    }
+
+    /// How an attempt at the n-th node ends that is made now.
+    async fn attempt(&self, n: usize) -> Outcome {
+        let envelope = Envelope {
+            verb: Verb::Read,
+            target: "/play-fetch/1/2".into(),
+            id: "1".into(),
+            repeat_key: None,
+            payload: Payload::Whole(Default::default()),
+        };
+        let until = tokio::time::Instant::now() + Duration::from_secs(5);
+        self.nodes.send(NodeId(n as u64), &envelope, &Rc::new(Permit::until(until))).await.outcome
+    }
+}
+
+fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(test);
+}
+
+/// Given 7,100 nodes, when 888 of them drain in one list of changes, then that is one change, and no attempt that is made
+/// right after it begins at any of them, while the others are tried as before.
+#[test]
+fn a_drain_of_888_of_7100_nodes_is_one_change_and_holds_at_once() {
+    run(async {
+        let mut view = View::full();
+        let drains: Vec<String> = (0..DRAINED).map(|n| node_entry(n * 7, "draining")).collect();
+        let drains = parsed(2, false, &drains);
+        let (before, span) = (view.counters.list_changes.get(), view.apply(drains));
+        println!("a change of {DRAINED} entries: {span:?}");
+        assert_eq!(view.counters.list_changes.get(), before + 1);
+        assert_eq!(view.known_and_excluded(), (NODES, DRAINED));
+        for n in 0..DRAINED {
+            assert_eq!(view.attempt(n * 7).await, Outcome::Moot, "node {}", n * 7);
+        }
+        assert_eq!(view.counters.node_connections.get(), 0, "no connection was made to any of them");
+        for n in [1, 8, NODES - 1] {
+            assert_eq!(view.attempt(n).await, Outcome::ConnectFailed, "node {n} is tried");
+        }
+        assert!(span < Duration::from_millis(500), "{span:?}");
+    });
+}
+
+/// Given the whole list again, the same or with three changes, then what has changed is in force, and a list without a
+/// change costs less than the first one did.
+#[test]
+fn whole_lists_of_7100_nodes_cost_by_what_they_change() {
+    run(async {
+        let mut view = View::full();
+        let three = |n: usize| if [5, 4000, 7099].contains(&n) { "draining" } else { "ready" };
+        let same = view.apply(parsed(2, true, &entries(|_| "ready")));
+        let changed = view.apply(parsed(3, true, &entries(three)));
+        let again = view.apply(parsed(3, true, &entries(three)));
+        println!("a whole list without a change: {same:?}, with three: {changed:?}, that again: {again:?}");
+        assert_eq!(view.known_and_excluded(), (NODES, 3));
+        for (n, outcome) in [(5, Outcome::Moot), (6, Outcome::ConnectFailed), (4000, Outcome::Moot)] {
+            assert_eq!(view.attempt(n).await, outcome, "node {n}");
+        }
+        // What left does not come back by the older list.
+        view.apply(parsed(4, true, &entries(|_| "ready")[1..]));
+        view.apply(parsed(3, true, &entries(|_| "ready")));
+        assert_eq!(view.known_and_excluded(), (NODES - 1, 0));
+        assert_eq!(view.attempt(0).await, Outcome::Moot);
+        assert!(same.max(again) < Duration::from_millis(200), "{same:?}, {again:?}");
+    });
+}
+
+/// Processor time of a process so far, in seconds.
+fn spent(head: &Head) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", head.pid())).expect("its times");
+    let fields: Vec<&str> = stat.rsplit(')').next().expect("fields").split_whitespace().collect();
+    fields[11..13].iter().map(|ticks| ticks.parse::<f64>().expect("ticks")).sum::<f64>() / 100.0
+}
+
+/// Given an agent that answers each watch with the whole list of 7,100 nodes, when nothing changes, then control costs
+/// little; when one node drains, then that is in force by the next renewal.
+#[test]
+fn an_agent_that_answers_with_whole_lists_costs_little_and_is_heard() {
+    const IDLE: Duration = Duration::from_secs(5);
+    let served = Brick::start(|_, _| Step::Serve(b"ok".to_vec()));
+    let texts: Vec<String> = ["ready", "draining"]
+        .iter()
+        .enumerate()
+        .map(|(place, state)| {
+            let mut entries = entries(|_| "ready");
+            entries[0] = entry("s-served", served.address, 0, state);
+            list(place as u64 + 1, true, &entries)
+        })
+        .collect();
+    let drained = Arc::new(AtomicBool::new(false));
+    let now = drained.clone();
+    let agent =
+        Agent::start(move |_, _| vec![Say::Line(texts[usize::from(now.load(Ordering::SeqCst))].clone())]);
+    let text = config_at(agent.address, 1024, "null").replace(r#""n_instances":1"#, r#""n_instances":4200"#);
+    let head = Head::start_text(&text, None, &[]);
+    let read = Client::request("play-fetch", "network", 1, 2.0, 0);
+    assert_eq!(Client::new(head.http).ask(&read, b"").body, b"ok");
+    thread::sleep(Duration::from_millis(500));
+    let figures = || {
+        ["discovery_calls", "discovery_messages", "discovery_bytes_received", "list_changes"]
+            .map(|name| head.counter(name))
+    };
+    let (before, spent_before) = (figures(), spent(&head));
+    thread::sleep(IDLE);
+    let (after, spent_after) = (figures(), spent(&head));
+    let second = |place: usize| (after[place] - before[place]) as f64 / IDLE.as_secs_f64();
+    let load = (spent_after - spent_before) / IDLE.as_secs_f64();
+    println!(
+        "idle: {:.1} calls, {:.1} messages and {:.0} bytes a second, {:.1}% of a core",
+        second(0),
+        second(1),
+        second(2),
+        load * 100.0
+    );
+    assert!(second(0) > 8.0 && second(1) > 8.0, "it asks, and hears its agent");
+    assert!(second(2) < 15e3, "{:.0} bytes a second", second(2));
+    assert_eq!(before[3], after[3]);
+    drained.store(true, Ordering::SeqCst);
+    let told = Instant::now();
+    wait(|| (head.counter("list_changes") > after[3]).then_some(()));
+    println!("a drain in a whole list: in force after {:?}", told.elapsed());
+    assert_ne!(Client::new(head.http).ask(&read, b"").body, b"ok");
+    assert!(told.elapsed() < Duration::from_secs(5), "{:?}", told.elapsed());
+}
