--- /dev/null
+++ b/crates/attempts/tests/attempts.rs
@@ -0,0 +1,44 @@
+//! What the sends of one request tell together.
+
+use flaxgap_attempts::{Attempt, Attempts, Outcome};
+use flaxgap_shard_table::{ShardId, ZoneId};
+
+fn sent(shard: u32) -> Attempt {
+    Attempt { shard: ShardId(shard), zone: ZoneId(0), epoch: 1, at: 2.0, outcome: None }
+}
+
+#[test]
+fn an_attempt_is_out_until_its_first_outcome() {
+    let mut attempts = Attempts::default();
+    assert!(attempts.is_empty() && !attempts.is_out());
+    attempts.push(sent(3));
+    assert_eq!(attempts.out_at(), Some(ShardId(3)));
+    assert_eq!(attempts.end(1, Outcome::Ok), None, "there was no second one");
+    assert_eq!(attempts.end(0, Outcome::Full).map(|attempt| attempt.shard), Some(ShardId(3)));
+    assert_eq!(attempts.end(0, Outcome::Ok), None, "it has ended");
+    attempts.push(sent(5));
+    assert_eq!(attempts.out().map(|(nth, _)| nth).collect::<Vec<_>>(), [1]);
+    assert_eq!(attempts.len(), 2);
+}
+
+#[test]
+fn only_some_outcomes_prove_that_it_never_ran_or_was_taken() {
+    let all = [
+        (Outcome::Ok, true, false),
+        (Outcome::Error, true, true),
+        (Outcome::Full, false, true),
+        (Outcome::Timeout, true, false),
+        (Outcome::ConnectFailed, false, false),
+        (Outcome::Reset, true, false),
+        (Outcome::Cancelled, true, false),
+        (Outcome::Moot, false, false),
+    ];
+    for (outcome, may_have_run, taken) in all {
+        let mut attempts = Attempts::default();
+        attempts.push(sent(0));
+        assert!(attempts.may_have_run().next().is_some() && !attempts.taken(), "it is out");
+        attempts.end(0, outcome);
+        assert_eq!(attempts.may_have_run().next().is_some(), may_have_run, "{outcome:?}");
+        assert_eq!(attempts.taken(), taken, "{outcome:?}");
+    }
+}
--- /dev/null
+++ b/crates/lab/benches/module.rs
@@ -0,0 +1,246 @@
+//! What a call of the decision module costs by the nodes on the list and by the requests pending, for the module and
+//! for its reference (`tests/reference`): `cargo bench -p flaxgap-lab --bench module`. Each figure is the lowest of
+//! some batches, in microseconds. Of the pending requests each node is sent up to four, and the others are queued.
+//! Then what an unused node costs in memory, by the difference in resident memory.
+
+#[path = "../../../tests/reference/mod.rs"]
+mod reference;
+
+use flaxgap::api::*;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Nodes on the list, and requests pending.
+const NODES: [u32; 6] = [200, 500, 1024, 2048, 4096, 7100];
+const PENDING: [u32; 4] = [0, 100, 1000, 2857];
+/// Nodes that go in one change: a zone of the largest fleet, or this part of a smaller one.
+const GONE: u32 = 888;
+const GONE_PART: u32 = 8;
+/// Batches of which the fastest counts, and calls in each.
+const BATCHES: usize = 7;
+const CALLS: u32 = 40;
+/// Virtual seconds between two calls: so few that nothing falls due in between.
+const STEP: f64 = 1e-6;
+/// Seconds of an aim and of a deadline that no request reaches.
+const FAR: f64 = 1e5;
+/// Schedulers made to see what an unused node costs in memory.
+const MANY: usize = 40;
+
+/// The module or its reference.
+trait Module {
+    fn start(set: Settings) -> Self;
+    fn call(&mut self, now: f64, events: &[Event], actions: &mut Vec<Action>);
+}
+
+impl Module for flaxgap::Scheduler {
+    fn start(set: Settings) -> Self {
+        flaxgap::Scheduler::new(set, 1, 0.0).expect("settings that can be served")
+    }
+
+    fn call(&mut self, now: f64, events: &[Event], actions: &mut Vec<Action>) {
+        self.handle(now, events, actions);
+    }
+}
+
+impl Module for reference::Scheduler {
+    fn start(set: Settings) -> Self {
+        reference::Scheduler::new(set, 1, 0.0).expect("settings that can be served")
+    }
+
+    fn call(&mut self, now: f64, events: &[Event], actions: &mut Vec<Action>) {
+        self.handle(now, events, actions);
+    }
+}
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: FAR,
+        deadline: 10.0 * FAR,
+        worth: 1.0,
+        late_worth: 0.2,
+        repeat: Repeat::Safe,
+        in_order: false,
+    };
+    let limit = Limit { rate: 1e6, burst: 1e6, slack: 0.0 };
+    let plan = Plan { base_rate: 4.0, reserve: 1e4, weight: 1.0, value_factor: 1.0, limit: Some(limit) };
+    Settings {
+        classes: vec![class.clone(), class],
+        plans: vec![plan],
+        mean_units: 2.0,
+        most_units: 8.0,
+        share_worth: 0.3,
+        spare_worth: 0.08,
+        hosts: 4200,
+        tick: 0.002,
+        most_held: 4000,
+        max_attempts: 3,
+        second_copies: false,
+        cancel: true,
+        probes: false,
+        reports_in_answers: true,
+        use_period: 0.0,
+        tells_elsewhere: false,
+        ask_every: None,
+        cold: Cold { units: 30.0, span: 2.0, from: 0.2, warm_within: 10.0, multiple: 2.5 },
+        budget: Some(Budget { free: 10.0, share: 0.1, window: 10.0 }),
+        order_pause: 0.1,
+        max_wait: 0.0,
+    }
+}
+
+fn node(shard: u32, state: NodeState) -> NodeInfo {
+    let (node, zone) = (NodeId(u64::from(shard)), ZoneId((shard % 3) as u16));
+    NodeInfo { node, shard: ShardId(shard), since: 0.0, zone, state }
+}
+
+/// A module with its list, and requests that stay pending.
+struct Rig<M> {
+    module: M,
+    nodes: u32,
+    now: f64,
+    next: u32,
+    actions: Vec<Action>,
+}
+
+impl<M: Module> Rig<M> {
+    fn new(nodes: u32, pending: u32) -> Rig<M> {
+        let mut rig = Rig { module: M::start(settings()), nodes, now: 0.0, next: 0, actions: Vec::new() };
+        rig.list(ListKind::Whole, (0..nodes).map(|shard| node(shard, NodeState::Ready)).collect());
+        for shard in 0..pending {
+            let ask = rig.request(Some(ShardId(shard % nodes)));
+            rig.call(&[ask]);
+        }
+        rig
+    }
+
+    fn call(&mut self, events: &[Event]) {
+        self.now += STEP;
+        self.actions.clear();
+        self.module.call(self.now, events, &mut self.actions);
+        black_box(&self.actions);
+    }
+
+    fn list(&mut self, kind: ListKind, nodes: Vec<NodeInfo>) {
+        self.call(&[Event::Nodes { kind, nodes }]);
+    }
+
+    fn request(&mut self, shard: Option<ShardId>) -> Event {
+        self.next += 1;
+        Event::Request(Request {
+            id: RequestId(self.next),
+            class: ClassId(self.next as usize % 2),
+            plan: PlanId(0),
+            volume: VolumeId(u64::from(self.next % 200)),
+            extent: None,
+            shard,
+            remaining: 10.0 * FAR,
+            units: 2.0,
+            hosts: 2,
+            repeat: false,
+        })
+    }
+
+    /// A request comes, is sent and is answered, in two calls.
+    fn life(&mut self, shard: Option<ShardId>) {
+        let ask = self.request(shard);
+        self.call(&[ask]);
+        self.call(&[Event::Outcome {
+            request: RequestId(self.next),
+            attempt: 0,
+            outcome: Outcome::Ok,
+            elapsed: 0.01,
+            done: true,
+            last: false,
+            used: None,
+            elsewhere: 0.0,
+            report: Report::default(),
+        }]);
+    }
+
+    /// Microseconds of what is timed, each time after what is not.
+    fn time(
+        &mut self,
+        calls: u32,
+        mut before: impl FnMut(&mut Self),
+        mut timed: impl FnMut(&mut Self),
+    ) -> f64 {
+        let mut best = f64::INFINITY;
+        for _ in 0..BATCHES {
+            let mut spent = 0.0;
+            for _ in 0..calls {
+                before(self);
+                let start = Instant::now();
+                timed(self);
+                spent += start.elapsed().as_secs_f64();
+            }
+            best = best.min(spent * 1e6 / f64::from(calls));
+        }
+        best
+    }
+
+    /// Microseconds of each kind of work.
+    fn figures(mut self) -> [f64; 7] {
+        let (nodes, gone) = (self.nodes, GONE.min(self.nodes / GONE_PART));
+        let some = move |rig: &Self| ShardId(rig.next.wrapping_mul(7919) % nodes);
+        let zone = |state| (0..gone).map(|at| node(at * GONE_PART, state)).collect::<Vec<_>>();
+        let nothing = self.time(CALLS, |_| (), |rig| rig.call(&[Event::WakeUp]));
+        let life = self.time(CALLS, |_| (), |rig| rig.life(Some(some(rig))));
+        let anywhere = self.time(CALLS, |_| (), |rig| rig.life(None));
+        let unknown = Event::Started { request: RequestId(1 << 30) };
+        let started = self.time(CALLS, |_| (), |rig| rig.call(std::slice::from_ref(&unknown)));
+        let entry = self.time(
+            CALLS,
+            |_| (),
+            |rig| {
+                rig.next += 1;
+                let restarted =
+                    NodeInfo { since: f64::from(rig.next) * 1e-9, ..node(some(rig).0, NodeState::Ready) };
+                rig.list(ListKind::Changes, vec![restarted]);
+            },
+        );
+        let lost = self.time(
+            3,
+            |rig| rig.list(ListKind::Changes, zone(NodeState::Ready)),
+            |rig| rig.list(ListKind::Changes, zone(NodeState::Gone)),
+        );
+        self.list(ListKind::Changes, zone(NodeState::Ready));
+        let tick = self.time(CALLS, |rig| rig.now += 0.5, |rig| rig.call(&[Event::WakeUp]));
+        [nothing, life, anywhere, started, entry, lost, tick]
+    }
+}
+
+/// Bytes of resident memory.
+fn resident() -> f64 {
+    let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = pages.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(f64::NAN) * 4096.0
+}
+
+/// Bytes for each node that nothing was sent to.
+fn bytes_for_each_node<M: Module>(nodes: u32) -> f64 {
+    let before = resident();
+    let all: Vec<Rig<M>> = (0..MANY).map(|_| Rig::new(nodes, 0)).collect();
+    let bytes = (resident() - before) / (all.len() as f64 * f64::from(nodes));
+    black_box(&all);
+    bytes
+}
+
+fn main() {
+    let most = NODES[NODES.len() - 1];
+    println!(
+        "bytes for each unused node of {most}: now {:.0}",
+        bytes_for_each_node::<flaxgap::Scheduler>(most)
+    );
+    println!("{:24} before {:.0}", "", bytes_for_each_node::<reference::Scheduler>(most));
+    let kinds = ["nothing", "life", "new object", "started", "entry", "zone gone", "tick"];
+    println!("nodes pending        {}", kinds.map(|kind| format!("{kind:>10}")).join(" "));
+    for nodes in NODES {
+        for pending in PENDING {
+            let row = |figures: [f64; 7]| figures.map(|us| format!("{us:10.2}")).join(" ");
+            let before = row(Rig::<reference::Scheduler>::new(nodes, pending).figures());
+            println!("{nodes:5} {pending:7} before {before}");
+            let now = row(Rig::<flaxgap::Scheduler>::new(nodes, pending).figures());
+            println!("{nodes:5} {pending:7} now    {now}");
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are seconds on a clock of the caller's choosing that never runs backwards.
 
+pub use flaxgap_attempts::Outcome;
+pub use flaxgap_shard_table::{ListKind, NodeId, NodeInfo, NodeState, ShardId, ZoneId};
 pub use flaxgap_slow_start::Cold;
 use std::fmt;
 
@@ -9,14 +11,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u32);
 
-/// A storage node process as the list names it. A replacement has another id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct NodeId(pub u64);
-
-/// The shard of the data that a node holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ShardId(pub u32);
-
 /// A volume: reserve, limit and share are counted for each.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct VolumeId(pub u64);
@@ -33,10 +27,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PlanId(pub usize);
 
-/// A zone, as the list and the settings number them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ZoneId(pub u16);
-
 /// Which nodes drop a repeat of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RepeatGroup {
@@ -253,45 +243,6 @@
     }
 }
 
-/// Whether a node takes work, as the list has it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NodeState {
-    /// Takes work.
-    Ready,
-    /// Finishes its work; must get none.
-    Draining,
-    /// Removed.
-    Gone,
-}
-
-/// One entry of the node list.
-#[derive(Clone, Debug)]
-pub struct NodeInfo {
-    /// The node.
-    pub node: NodeId,
-    /// The shard it holds.
-    pub shard: ShardId,
-    /// When it last started; 0 for long ago.
-    pub since: f64,
-    /// Its zone.
-    pub zone: ZoneId,
-    /// Whether it takes work.
-    pub state: NodeState,
-}
-
-/// What kind of news about the node list came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListKind {
-    /// Changed entries only.
-    Changes,
-    /// The whole list.
-    Whole,
-    /// The whole list as an earlier life last saw it; may be old.
-    Cached,
-    /// A call for the list failed, or the watch on it ended.
-    Failed,
-}
-
 /// A node's own word on its load; what it doesn't tell is `None`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
@@ -360,36 +311,12 @@
     pub delay: f64,
 }
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// Served.
-    Ok,
-    /// The node answered with an error; it may have run.
-    Error,
-    /// Turned away unseen.
-    Full,
-    /// No answer in time; it may have run, or still run.
-    Timeout,
-    /// No connection; it never ran.
-    ConnectFailed,
-    /// The connection broke; it may have run.
-    Reset,
-    /// Called off; it may have run.
-    Cancelled,
-    /// Not sent.
-    Moot,
-}
-
-impl Outcome {
-    /// Whether this outcome proves that the attempt never ran.
-    pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
-    }
-
-    /// Whether the attempt might still be running.
-    pub fn may_still_run(self) -> bool {
-        matches!(self, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled)
+impl Kept {
+    /// One more has ended, so many seconds after it came.
+    pub fn count(&mut self, met: bool, delay: f64) {
+        self.met += u64::from(met);
+        self.all += 1;
+        self.delay += delay;
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,8 @@
 //! fair queue in `pick`, the weights in `adapt` and the window in `Lane::learn`; the rest are guards.
 
 use crate::api::*;
+use flaxgap_attempts::{Attempt, Attempts, End};
+use flaxgap_shard_table::{Server, ShardTable, WorkIndex};
 use flaxgap_slow_start::{Pace, SlowStart};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -62,18 +64,6 @@
 /// Ticks of the caller's clock before a client's deadline at which a held request is answered.
 const ANSWER_TICKS: f64 = 2.0;
 
-/// How an attempt ended, after how long, whether its request is over, and whether it can't be sent again.
-type End = (Outcome, f64, bool, bool);
-
-/// One send of a request.
-struct Attempt {
-    shard: ShardId,
-    zone: ZoneId,
-    epoch: u64,
-    at: f64,
-    outcome: Option<Outcome>,
-}
-
 /// A request that is held, out, or over with an attempt still out.
 struct Held {
     ask: Request,
@@ -85,34 +75,20 @@
     queued: bool,
     over: bool,
     draw: f64,
-    attempts: Vec<Attempt>,
+    attempts: Attempts,
 }
 
 impl Held {
-    fn out(&self) -> bool {
-        self.attempts.iter().any(|a| a.outcome.is_none())
-    }
-
-    /// Attempts that ran, may have run or may yet run.
-    fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.iter().filter(|a| a.outcome.is_none_or(|o| !o.never_ran()))
-    }
-
-    /// Rule 5: whether a node is known to have had it whole; until then each attempt may be what counts.
-    fn taken(&self) -> bool {
-        self.attempts.iter().any(|a| matches!(a.outcome, Some(Outcome::Full | Outcome::Error)))
-    }
-
     /// Rule 2: whether a refusal, which tells the client that a repeat is harmless, may be given.
     fn may_refuse(&self, repeat: Repeat) -> bool {
         let free = matches!(repeat, Repeat::Safe | Repeat::Keyed { group: RepeatGroup::All, .. });
-        free || self.may_have_run().next().is_none()
+        free || self.attempts.may_have_run().next().is_none()
     }
 
     /// Rule 2: when the time for another attempt ends.
     fn window_end(&self, repeat: Repeat) -> f64 {
         let Repeat::Keyed { window, .. } = repeat else { return f64::INFINITY };
-        self.may_have_run().map(|a| a.at + window).fold(f64::INFINITY, f64::min)
+        self.attempts.may_have_run().map(|a| a.at + window).fold(f64::INFINITY, f64::min)
     }
 
     /// Rule 2: whether another attempt may go to this node now. Two are never out at once.
@@ -123,7 +99,8 @@
             Repeat::Keyed { group: RepeatGroup::Zone, .. } => a.zone == to.zone,
             Repeat::Keyed { group: RepeatGroup::Shard, .. } => a.shard == to.shard,
         };
-        !self.out() && now + margin < self.window_end(repeat) && self.may_have_run().all(allowed)
+        let in_time = now + margin < self.window_end(repeat);
+        !self.attempts.is_out() && in_time && self.attempts.may_have_run().all(allowed)
     }
 }
 
@@ -149,14 +126,18 @@
 
 /// What this host hears of all nodes together: a running mean of latency, when last, how fast it fades.
 #[derive(Clone, Copy, Default)]
-struct Weather {
+struct FleetLatency {
     latency: f64,
     heard: f64,
     fade: f64,
 }
 
-/// The request that goes next from a lane: its band, its class's tag and its key, then its class and place.
-type Picked = (u8, f64, f64, usize, usize);
+/// The request that goes next from a lane, and by what: its band, then its class's tag, then its key.
+struct Picked {
+    order: (u8, f64, f64),
+    class: usize,
+    place: usize,
+}
 
 /// An attempt that is out: when sent, whose, and how many sent after it were answered before it.
 struct Out {
@@ -168,9 +149,7 @@
 /// The queues before one shard's node, and what is known of that node.
 #[derive(Default)]
 struct Lane {
-    nodes: BTreeMap<NodeId, NodeInfo>,
-    target: Option<NodeInfo>,
-    epoch: u64,
+    server: Server,
     queues: Vec<Vec<RequestId>>,
     finish: Vec<f64>,
     virtual_time: f64,
@@ -190,36 +169,44 @@
 }
 
 impl Lane {
-    fn new(classes: usize, ramp: SlowStart) -> Lane {
+    /// As if made when the shard was heard of: nothing was due to this head there until now.
+    fn new(classes: usize, warm_within: f64, server: Server) -> Lane {
         let (queues, finish, latency) = (vec![Vec::new(); classes], vec![0.0; classes], vec![0.0; classes]);
-        Lane { queues, finish, latency, ramp, window: WINDOW_START, ..Lane::default() }
+        let mut ramp = SlowStart::new(warm_within, server.shard_known);
+        ramp.started(server.since);
+        Lane { server, queues, finish, latency, ramp, window: WINDOW_START, ..Lane::default() }
     }
 
-    /// Follows the list: the node started last among the ready ones; a new one is learnt afresh.
-    fn choose_target(&mut self, now: f64) {
-        let ready = self.nodes.values().filter(|n| n.state == NodeState::Ready);
-        let best = ready.max_by(|a, b| a.since.total_cmp(&b.since).then(b.node.cmp(&a.node))).cloned();
-        let key = |n: &Option<NodeInfo>| n.as_ref().map(|n| (n.node, n.since));
-        if key(&best) != key(&self.target) {
-            let (queues, nodes) = (std::mem::take(&mut self.queues), std::mem::take(&mut self.nodes));
-            self.ramp.started(now);
-            *self = Lane { queues, nodes, epoch: self.epoch + 1, ..Lane::new(self.finish.len(), self.ramp) };
+    /// Follows the list: a node that took over is learnt afresh.
+    fn follow(&mut self, server: &Server) {
+        if server.epoch != self.server.epoch {
+            self.ramp.started(server.since);
+            let (queues, ramp) = (std::mem::take(&mut self.queues), self.ramp);
+            *self = Lane { queues, ramp, ..Lane::new(self.finish.len(), 0.0, server.clone()) };
         }
-        self.target = best;
+        self.server = server.clone();
+    }
+
+    fn is_queued(&self) -> bool {
+        self.queues.iter().any(|queue| !queue.is_empty())
+    }
+
+    fn is_passed_over(&self) -> bool {
+        self.out.iter().any(|out| out.passed >= PASSED)
     }
 
     /// The node's recent latency: a send unanswered for longer counts (the node stands still or is
     /// silent), and with nothing out it fades to that of all nodes: many hosts hear little of each.
-    fn latency_now(&self, now: f64, weather: Weather) -> f64 {
-        let all = weather.latency * (-(now - weather.heard) / weather.fade).exp();
-        let known = all + (self.recent - all) * (-(now - self.heard) / weather.fade).exp();
+    fn latency_now(&self, now: f64, fleet: FleetLatency) -> f64 {
+        let all = fleet.latency * (-(now - fleet.heard) / fleet.fade).exp();
+        let known = all + (self.recent - all) * (-(now - self.heard) / fleet.fade).exp();
         self.out.first().map_or(known, |oldest| known.max(now - oldest.at))
     }
 
     /// Whether one more request may go out: the window, or one after a failure until an answer.
     fn room(&self, now: f64) -> bool {
         let window = if self.failures > 0 { 1 } else { self.window as usize };
-        self.target.is_some() && self.out.len() < window && now >= self.closed_until
+        self.server.node.is_some() && self.out.len() < window && now >= self.closed_until
     }
 
     /// The window's step: one wider near the recent best latency per unit, halved past twice that.
@@ -249,6 +236,12 @@
     }
 }
 
+/// The node that a shard's work goes to: the one started last among the ready ones.
+fn serving(nodes: &[NodeInfo]) -> Option<&NodeInfo> {
+    let ready = nodes.iter().filter(|n| n.state == NodeState::Ready);
+    ready.max_by(|a, b| a.since.total_cmp(&b.since).then(b.node.cmp(&a.node)))
+}
+
 /// The scheduler of one host.
 pub struct Scheduler {
     set: Settings,
@@ -259,8 +252,9 @@
     random: u64,
     now: f64,
     classes: Vec<ClassState>,
-    lanes: BTreeMap<ShardId, Lane>,
+    lanes: ShardTable<Lane>,
     held: BTreeMap<RequestId, Held>,
+    index: WorkIndex<RequestId>,
     volumes: BTreeMap<VolumeId, Volume>,
     order: BTreeMap<ExtentId, (VecDeque<RequestId>, f64)>,
     expiry: BTreeSet<(u64, RequestId)>,
@@ -273,7 +267,7 @@
     ask_pause: f64,
     wake_at: f64,
     blocked_until: f64,
-    weather: Weather,
+    fleet: FleetLatency,
     level: Level,
     level_since: f64,
     kept: BTreeMap<(Option<ZoneId>, ClassId), Kept>,
@@ -294,8 +288,9 @@
             part: (1.0, 1.0),
             random: seed | 1,
             now,
-            lanes: BTreeMap::new(),
+            lanes: ShardTable::default(),
             held: BTreeMap::new(),
+            index: WorkIndex::default(),
             volumes: BTreeMap::new(),
             order: BTreeMap::new(),
             expiry: BTreeSet::new(),
@@ -308,7 +303,7 @@
             ask_pause: ASK.0,
             wake_at: f64::INFINITY,
             blocked_until: f64::INFINITY,
-            weather: Weather { fade: FADES * tightest, ..Weather::default() },
+            fleet: FleetLatency { fade: FADES * tightest, ..FleetLatency::default() },
             level: Level::default(),
             level_since: now,
             kept: BTreeMap::new(),
@@ -357,12 +352,10 @@
             Event::Nodes { kind, nodes } => self.follow_list(*kind, nodes),
             Event::Request(ask) => self.take(ask, actions),
             Event::Outcome { request, attempt, outcome, elapsed, done, last, .. } => {
-                self.outcome(*request, *attempt, (*outcome, *elapsed, *done, *last), actions);
-            }
-            Event::Started { request } => {
-                self.expiry.retain(|(_, id)| id != request);
-                self.lanes.values_mut().for_each(|lane| lane.out.retain(|o| o.id != *request));
+                let end = End { outcome: *outcome, elapsed: *elapsed, done: *done, last: *last };
+                self.outcome(*request, *attempt, end, actions);
             }
+            Event::Started { request } => self.answer_began(*request),
             Event::ClientGone { request } => {
                 self.cancel(*request, actions);
                 self.end(*request);
@@ -390,29 +383,28 @@
         } else if kind != ListKind::Cached && asks {
             (self.ask_at, self.ask_pause) = (None, ASK.0);
         }
-        if !matches!(kind, ListKind::Changes | ListKind::Failed) {
-            self.lanes.values_mut().for_each(|lane| lane.nodes.clear());
-        }
-        for info in nodes {
-            let lane = self.lane(info.shard);
-            if info.state == NodeState::Gone {
-                lane.nodes.remove(&info.node);
-            } else {
-                lane.nodes.insert(info.node, info.clone());
-            }
-        }
-        self.lanes.values_mut().for_each(|lane| lane.choose_target(self.now));
+        self.lanes.follow(kind, nodes, self.now, serving, Lane::follow);
         self.place_again();
     }
 
     fn lane(&mut self, shard: ShardId) -> &mut Lane {
-        let (classes, ramp) = (self.set.classes.len(), SlowStart::new(self.set.cold.warm_within, self.now));
-        self.lanes.entry(shard).or_insert_with(|| Lane::new(classes, ramp))
+        let (classes, warm_within) = (self.set.classes.len(), self.set.cold.warm_within);
+        self.lanes.lane_or_insert(shard, self.now, |server| Lane::new(classes, warm_within, server.clone()))
+    }
+
+    /// No deadline runs any more, and the send takes no more room at its node.
+    fn answer_began(&mut self, id: RequestId) {
+        let Some(held) = self.held.get(&id) else { return };
+        self.expiry.remove(&(held.deadline.to_bits(), id));
+        if let Some(lane) = held.attempts.out_at().and_then(|shard| self.lanes.lane_mut(shard)) {
+            lane.out.retain(|o| o.id != id);
+        }
     }
 
     /// New objects held before a node that went away go to another.
     fn place_again(&mut self) {
-        let lost = self.lanes.values().filter(|l| l.target.is_none()).flat_map(|l| l.queues.iter().flatten());
+        let busy = self.index.busy.iter().filter_map(|shard| self.lanes.lane(*shard));
+        let lost = busy.filter(|l| l.server.node.is_none()).flat_map(|l| l.queues.iter().flatten());
         let lost = lost.filter(|id| self.held[id].ask.shard.is_none()).copied();
         for id in lost.collect::<Vec<_>>() {
             self.unqueue(id);
@@ -452,7 +444,7 @@
             queued: false,
             over: false,
             draw: self.chance(),
-            attempts: Vec::new(),
+            attempts: Attempts::default(),
         };
         let units = held.ask.units;
         self.held.insert(id, held);
@@ -469,6 +461,7 @@
         let shard = shard.unwrap_or_else(|| self.place());
         let class = self.held[&id].ask.class.0;
         self.lane(shard).queues[class].push(id);
+        self.index.enqueued(id, shard);
         if let Some(held) = self.held.get_mut(&id) {
             (held.lane, held.queued) = (shard, true);
         }
@@ -477,30 +470,32 @@
     fn unqueue(&mut self, id: RequestId) {
         let Some(held) = self.held.get_mut(&id).filter(|h| h.queued) else { return };
         held.queued = false;
-        if let Some(lane) = self.lanes.get_mut(&held.lane) {
-            lane.queues[held.ask.class.0].retain(|other| *other != id);
+        let (shard, class) = (held.lane, held.ask.class.0);
+        if let Some(lane) = self.lanes.lane_mut(shard) {
+            lane.queues[class].retain(|other| *other != id);
+            self.index.dequeued(&id, shard, !lane.is_queued());
         }
     }
 
     /// A new object goes to the better of two nodes drawn by chance: the single best would draw a herd.
     fn place(&mut self) -> ShardId {
-        let open: Vec<ShardId> = self.lanes.iter().filter(|l| l.1.target.is_some()).map(|l| *l.0).collect();
-        if open.is_empty() {
-            return self.lanes.keys().next().copied().unwrap_or(ShardId(0));
+        if self.lanes.open().is_empty() {
+            return self.lanes.first().unwrap_or(ShardId(0));
         }
-        let mut draw = || open[(self.chance() * open.len() as f64) as usize % open.len()];
-        let (a, b) = (draw(), draw());
+        let (a, b) = (self.chance(), self.chance());
+        let (Some(a), Some(b)) = (self.lanes.open_at(a), self.lanes.open_at(b)) else { return ShardId(0) };
         if self.expected_wait(b) < self.expected_wait(a) { b } else { a }
     }
 
     fn expected_wait(&self, shard: ShardId) -> f64 {
-        let lane = &self.lanes[&shard];
+        let Some(shard) = self.lanes.get(shard) else { return f64::INFINITY };
+        let unused = Lane::new(self.set.classes.len(), self.set.cold.warm_within, shard.server().clone());
+        let lane = shard.lane().unwrap_or(&unused);
         let queued: usize = lane.queues.iter().map(Vec::len).sum();
         let work = 1.0 + queued as f64 / lane.window + lane.out.len() as f64 / lane.window;
         let cold = if self.cold_rate(lane).is_some() { 4.0 } else { 1.0 };
-        let cut = self.level.cut(lane.target.as_ref().map(|t| t.zone));
-        let down = if lane.failures > 0 || cut { 100.0 } else { 1.0 };
-        work * lane.latency_now(self.now, self.weather).max(1e-3) * cold * down
+        let down = if lane.failures > 0 || self.level.cut(lane.server.zone()) { 100.0 } else { 1.0 };
+        work * lane.latency_now(self.now, self.fleet).max(1e-3) * cold * down
     }
 
     fn know_volume(&mut self, ask: &Request) {
@@ -535,7 +530,8 @@
     fn expire(&mut self, actions: &mut Vec<Action>) {
         let last = self.now + ANSWER_TICKS * self.set.tick;
         let near = self.expiry.range(..=(last.max(0.0).to_bits(), RequestId(u32::MAX)));
-        let due = near.filter(|(bits, id)| f64::from_bits(*bits) <= self.now || !self.held[id].out());
+        let due =
+            near.filter(|(bits, id)| f64::from_bits(*bits) <= self.now || !self.held[id].attempts.is_out());
         for id in due.map(|(_, id)| *id).collect::<Vec<_>>() {
             self.answer(id, actions);
         }
@@ -546,12 +542,13 @@
     fn give_up(&mut self, actions: &mut Vec<Action>) {
         // Exception: with half the clients' connections waiting, late work waits no more; others need them.
         let patience = if self.held.len() > self.set.most_held / 2 { 0.0 } else { PATIENCE };
-        let queued: Vec<RequestId> = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id).collect();
+        let queued: Vec<RequestId> = self.index.queued.iter().copied().collect();
         for id in queued {
             let (held, now) = (&self.held[&id], self.now);
-            let (class, first, taken) = (held.ask.class.0, held.attempts.is_empty(), held.taken());
+            let (class, first, taken) = (held.ask.class.0, held.attempts.is_empty(), held.attempts.taken());
             let ends = held.window_end(self.set.classes[class].repeat);
-            let late_at = held.aim_at - self.lanes[&held.lane].latency[class];
+            let Some(lane) = self.lanes.lane(held.lane) else { continue };
+            let late_at = held.aim_at - lane.latency[class];
             let last = held.arrived + if first { patience } else { 1.0 } * (held.deadline - held.arrived);
             let next = if late_at > now { late_at } else { last };
             self.blocked_until = self.blocked_until.min(if first { next.min(ends) } else { ends });
@@ -565,8 +562,8 @@
 
     /// What the level in force lets pass of a request's kind at a lane. One behind a cut way is open again,
     /// but for spare work, once its node has answered since and answers still.
-    fn lets(&self, ask: &Request, lane: &Lane) -> Pass {
-        let pass = self.level.pass(ask.class, ask.plan, lane.target.as_ref().map(|t| t.zone));
+    fn admits(&self, ask: &Request, lane: &Lane) -> Pass {
+        let pass = self.level.pass(ask.class, ask.plan, lane.server.zone());
         let silent = lane.out.first().is_some_and(|o| self.now - o.at > self.tightest);
         let back = lane.heard >= self.level_since && lane.failures == 0 && !silent;
         if pass == Pass::Nothing && back { Pass::Share } else { pass }
@@ -576,7 +573,7 @@
     /// its reserve nor, where shares pass, its part by weight of the lane's pace will serve in time.
     fn withhold(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        let queued: Vec<RequestId> = self.held.iter().filter(|(_, h)| h.queued).map(|(id, _)| *id).collect();
+        let queued: Vec<RequestId> = self.index.queued.iter().copied().collect();
         let mut weights: BTreeMap<ShardId, BTreeMap<VolumeId, f64>> = BTreeMap::new();
         for held in queued.iter().map(|id| &self.held[id]) {
             let weight = self.set.plans.get(held.ask.plan.0).map_or(1.0, |p| p.weight.max(0.01));
@@ -588,8 +585,8 @@
             let reserve = self.set.plans.get(ask.plan.0).map_or(0.0, |p| p.reserve);
             let store =
                 self.refill(ask.volume, ask.plan).map_or((ask.units, 1.0), |(v, _)| (v.reserve, v.hosts));
-            let lane = &self.lanes[&shard];
-            let pass = self.lets(&ask, lane);
+            let Some(lane) = self.lanes.lane(shard) else { continue };
+            let pass = self.admits(&ask, lane);
             let left = self.held[&id].aim_at - lane.latency[ask.class.0] - now;
             let covered = store.0 + left.max(0.0) * reserve / store.1.sqrt();
             let before = ahead.get(&(None, ask.volume)).copied().unwrap_or(0.0);
@@ -615,10 +612,10 @@
 
     /// Seconds until a refused client should come again: the limit has its units, and the lane is open.
     fn come_again(&mut self, id: RequestId) -> f64 {
-        let lane = &self.lanes[&self.held[&id].lane];
-        let node = (lane.closed_until - self.now).max(lane.latency_now(self.now, self.weather));
-        let node = if lane.target.is_some() { node } else { BACKOFF.1 };
-        let level = match self.lets(&self.held[&id].ask, lane) {
+        let Some(lane) = self.lanes.lane(self.held[&id].lane) else { return BACKOFF.1 };
+        let node = (lane.closed_until - self.now).max(lane.latency_now(self.now, self.fleet));
+        let node = if lane.server.node.is_some() { node } else { BACKOFF.1 };
+        let level = match self.admits(&self.held[&id].ask, lane) {
             Pass::All | Pass::Share => 0.0,
             Pass::Reserve | Pass::Nothing => self.level.until - self.now,
         };
@@ -657,7 +654,7 @@
 
     fn cancel(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get(&id).filter(|_| self.set.cancel) else { return };
-        for (attempt, _) in held.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
+        for (attempt, _) in held.attempts.out() {
             actions.push(Action::Cancel { request: id, attempt });
         }
     }
@@ -668,7 +665,7 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         held.over = true;
         self.expiry.remove(&(held.deadline.to_bits(), id));
-        if held.out() {
+        if held.attempts.is_out() {
             return;
         }
         if let Some(extent) = held.ask.extent.filter(|_| self.set.classes[held.ask.class.0].in_order) {
@@ -684,19 +681,16 @@
         if let Some(held) = self.held.get(&id).filter(|h| !h.over && h.reserved) {
             let tick = &mut self.classes[held.ask.class.0].tick;
             *tick = (tick.0 + delay, tick.1 + 1);
-            let zone = self.lanes.get(&held.lane).and_then(|lane| Some(lane.target.as_ref()?.zone));
+            let zone = self.lanes.lane(held.lane).and_then(|lane| lane.server.zone());
             let kept = self.kept.entry((zone, held.ask.class)).or_default();
-            kept.met += u64::from(served && self.now <= held.aim_at);
-            (kept.all, kept.delay) = (kept.all + 1, kept.delay + delay);
+            kept.count(served && self.now <= held.aim_at, delay);
         }
     }
 
     fn outcome(&mut self, id: RequestId, nth: usize, end: End, actions: &mut Vec<Action>) {
-        let ((outcome, elapsed, done, last), now) = (end, self.now);
+        let (End { outcome, elapsed, done, last }, now) = (end, self.now);
         let Some(held) = self.held.get_mut(&id) else { return };
-        let Some(attempt) = held.attempts.get_mut(nth).filter(|a| a.outcome.is_none()) else { return };
-        attempt.outcome = Some(outcome);
-        let (shard, epoch, sent_at) = (attempt.shard, attempt.epoch, attempt.at);
+        let Some(Attempt { shard, epoch, at, .. }) = held.attempts.end(nth, outcome) else { return };
         let (class, units, arrived) = (held.ask.class.0, held.ask.units, held.arrived);
         let undue = if held.reserved { 0.0 } else { units };
         let rests = outcome.may_still_run() && self.set.classes[class].in_order;
@@ -705,15 +699,16 @@
             *rest = rest.max(now + self.set.order_pause);
         }
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Timeout) {
-            self.weather.latency += BLEND * (elapsed - self.weather.latency);
-            self.weather.heard = now;
+            self.fleet.latency += BLEND * (elapsed - self.fleet.latency);
+            self.fleet.heard = now;
         }
-        if let Some(lane) = self.lanes.get_mut(&shard).filter(|l| l.epoch == epoch) {
+        if let Some(lane) = self.lanes.lane_mut(shard).filter(|l| l.server.epoch == epoch) {
             lane.out.retain(|o| o.id != id);
             match outcome {
                 Outcome::Ok | Outcome::Error => {
                     (lane.heard, lane.failures) = (now, 0);
-                    lane.out.iter_mut().filter(|o| o.at < sent_at).for_each(|o| o.passed += 1);
+                    lane.out.iter_mut().filter(|o| o.at < at).for_each(|o| o.passed += 1);
+                    self.index.passed_over.extend(lane.is_passed_over().then_some(shard));
                     lane.ramp.due(now, undue);
                     lane.ramp.answered(match elapsed / self.tightest {
                         quick if quick < PRESSED => Pace::Quick,
@@ -740,7 +735,7 @@
         let repeat = self.set.classes[held.ask.class.0].repeat;
         let allowed = held.attempts.len() < self.set.max_attempts
             && held.deadline > self.now + ANSWER_TICKS * self.set.tick
-            && (repeat != Repeat::Unsafe || held.may_have_run().next().is_none());
+            && (repeat != Repeat::Unsafe || held.attempts.may_have_run().next().is_none());
         if allowed && self.budget_left() {
             self.enqueue(id);
         } else {
@@ -748,19 +743,19 @@
         }
     }
 
-    /// Rule 7: whether one more attempt past a request's first fits the budget.
+    /// Rule 7: whether one more attempt past a request's first fits the budget. What is too old is forgotten.
     fn budget_left(&mut self) -> bool {
         let Some(budget) = self.set.budget else { return true };
         let from = self.now - budget.window;
-        self.taken.retain(|at| *at > from + self.set.tick);
-        self.further.retain(|at| *at >= from - self.set.tick);
+        self.taken.drain(..self.taken.partition_point(|at| *at <= from + self.set.tick));
+        self.further.drain(..self.further.partition_point(|at| *at < from - self.set.tick));
         (self.further.len() + 1) as f64 <= budget.free + budget.share * self.taken.len() as f64
     }
 
     /// Rule 4: units a second this host may send a node that may still be cold. `None`: it is warm.
     fn cold_rate(&self, lane: &Lane) -> Option<f64> {
-        let age = self.now - lane.target.as_ref().filter(|t| t.since > 0.0)?.since;
-        let slow = lane.latency_now(self.now, self.weather) > self.tightest;
+        let age = self.now - lane.server.node.as_ref().filter(|t| t.since > 0.0)?.since;
+        let slow = lane.latency_now(self.now, self.fleet) > self.tightest;
         lane.ramp.rate(&self.set.cold, (f64::from(self.set.hosts), self.part.0), self.now, age, slow)
     }
 
@@ -768,7 +763,7 @@
     /// fell silent or its answer is lost, and there is time for another.
     fn call_off(&mut self, actions: &mut Vec<Action>) {
         let (now, set, held) = (self.now, &self.set, &self.held);
-        for lane in self.lanes.values_mut() {
+        self.lanes.visit(&mut self.index.passed_over, |lane| {
             let overdue = (OVERDUE * lane.recent).max(self.tightest);
             lane.out.retain(|o| {
                 let held = held.get(&o.id).filter(|h| o.passed >= PASSED && set.cancel && !h.over);
@@ -781,17 +776,17 @@
                 actions.extend(lost.then_some(Action::Cancel { request: o.id, attempt }));
                 !lost
             });
-        }
+            lane.is_passed_over()
+        });
     }
 
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        let busy = self.lanes.iter().filter(|(_, lane)| lane.queues.iter().any(|q| !q.is_empty()));
-        for shard in busy.map(|(shard, _)| *shard).collect::<Vec<_>>() {
+        for shard in self.index.busy.iter().copied().collect::<Vec<_>>() {
             while let Some(picked) = self.pick(shard) {
                 self.send(shard, picked, actions);
             }
-            let lane = &self.lanes[&shard];
-            if lane.closed_until > self.now && lane.queues.iter().any(|q| !q.is_empty()) {
+            let Some(lane) = self.lanes.lane(shard) else { continue };
+            if lane.closed_until > self.now && lane.is_queued() {
                 self.blocked_until = self.blocked_until.min(lane.closed_until);
             }
         }
@@ -803,20 +798,20 @@
     /// is sent first delays the rest in the node's own queue.
     fn pick(&mut self, shard: ShardId) -> Option<Picked> {
         let now = self.now;
-        let lane = self.lanes.get_mut(&shard).filter(|l| l.room(now))?;
+        let lane = self.lanes.lane_mut(shard).filter(|l| l.room(now))?;
         let tags: Vec<f64> = lane.finish.iter().map(|f| f.max(lane.virtual_time)).collect();
         let queues = std::mem::take(&mut lane.queues);
         let mut best: Option<Picked> = None;
         for (class, queue) in queues.iter().enumerate() {
             for (place, id) in queue.iter().enumerate() {
                 let Some((band, key)) = self.standing(shard, *id) else { continue };
-                let tag = tags[class];
-                if best.is_none_or(|b| (band, tag, key) < (b.0, b.1, b.2)) {
-                    best = Some((band, tag, key, class, place));
+                let order = (band, tags[class], key);
+                if best.as_ref().is_none_or(|best| order < best.order) {
+                    best = Some(Picked { order, class, place });
                 }
             }
         }
-        self.lanes.get_mut(&shard)?.queues = queues;
+        self.lanes.lane_mut(shard)?.queues = queues;
         best
     }
 
@@ -824,11 +819,10 @@
     fn standing(&mut self, shard: ShardId, id: RequestId) -> Option<(u8, f64)> {
         let (volume, plan) = (self.held[&id].ask.volume, self.held[&id].ask.plan);
         let reserve = self.refill(volume, plan).map_or(-1.0, |(v, _)| v.reserve);
-        let (held, lane) = (&self.held[&id], &self.lanes[&shard]);
+        let (held, lane) = (&self.held[&id], self.lanes.lane(shard)?);
         let (now, tick, units) = (self.now, self.set.tick, held.ask.units);
         let class = &self.set.classes[held.ask.class.0];
-        let target = lane.target.clone()?;
-        if !held.may_send(class.repeat, &target, now, tick) {
+        if !held.may_send(class.repeat, lane.server.node.as_ref()?, now, tick) {
             return None;
         }
         // Rule 6: only the first in line of its extent, and not while the extent rests.
@@ -844,23 +838,23 @@
         }
         if let Some(rate) = self.cold_rate(lane) {
             let (draw, size) = (held.draw, (units, held.reserved));
-            let wait = self.lanes.get_mut(&shard)?.ramp.wait(&self.set.cold, rate, now, size, draw);
+            let wait = self.lanes.lane_mut(shard)?.ramp.wait(&self.set.cold, rate, now, size, draw);
             if wait > 0.0 {
                 self.blocked_until = self.blocked_until.min(now + wait.max(tick));
                 return None;
             }
         }
-        let lane = &self.lanes[&shard];
+        let lane = self.lanes.lane(shard)?;
         let late = now + lane.latency[held.ask.class.0] > held.aim_at;
         let tag = lane.volume_finish.get(&volume).copied().unwrap_or(0.0).max(lane.volume_time);
-        let latency = lane.latency_now(now, self.weather) / (PRESSED * self.tightest);
+        let latency = lane.latency_now(now, self.fleet) / (PRESSED * self.tightest);
         let standing = match late {
             true => (LATE, held.deadline),
             false if reserve >= units => (RESERVED, held.aim_at),
             false => (SHARED, tag),
         };
         // A level lets what it does not reserve go only to a node that this host has nothing out at.
-        let (idle, pass) = (lane.out.is_empty(), self.lets(&held.ask, lane));
+        let (idle, pass) = (lane.out.is_empty(), self.admits(&held.ask, lane));
         if pass == Pass::Nothing && !idle
             || pass == Pass::Reserve && standing.0 != RESERVED && !(idle && latency < 1.0)
         {
@@ -878,7 +872,7 @@
             self.blocked_until = self.blocked_until.min(now + self.tightest / 8.0);
             return None;
         }
-        let (further, taken) = (!held.attempts.is_empty(), held.taken());
+        let (further, taken) = (!held.attempts.is_empty(), held.attempts.taken());
         if further && !self.budget_left() {
             return None;
         }
@@ -890,14 +884,15 @@
     }
 
     fn send(&mut self, shard: ShardId, picked: Picked, actions: &mut Vec<Action>) {
-        let (band, _, _, class, place) = picked;
+        let Picked { order: (band, ..), class, place } = picked;
         let (now, weight) = (self.now, self.classes[class].weight);
         let next =
-            self.lanes.get(&shard).and_then(|l| Some((l, self.held.get(l.queues[class].get(place)?)?)));
-        let tries = next.is_some_and(|(lane, held)| self.lets(&held.ask, lane) == Pass::Nothing);
-        let Some(lane) = self.lanes.get_mut(&shard) else { return };
-        let Some(target) = lane.target.clone() else { return };
+            self.lanes.lane(shard).and_then(|l| Some((l, self.held.get(l.queues[class].get(place)?)?)));
+        let tries = next.is_some_and(|(lane, held)| self.admits(&held.ask, lane) == Pass::Nothing);
+        let Some(lane) = self.lanes.lane_mut(shard) else { return };
+        let Some(target) = lane.server.node.clone() else { return };
         let id = lane.queues[class].remove(place);
+        self.index.dequeued(&id, shard, !lane.is_queued());
         let Some(held) = self.held.get_mut(&id) else { return };
         let units = held.ask.units;
         let start = lane.finish[class].max(lane.virtual_time);
@@ -908,13 +903,15 @@
             let start = tag.max(lane.volume_time);
             *tag = start + units / plan_weight;
             lane.volume_time = start;
+            self.index.tagged.insert(shard);
         }
         lane.ramp.sent(units);
         lane.out.push(Out { at: now, id, passed: 0 });
         lane.was_full |= lane.out.len() >= lane.window as usize;
-        let (first, taken) = (held.attempts.is_empty(), held.taken());
+        let (first, taken) = (held.attempts.is_empty(), held.attempts.taken());
         held.queued = false;
-        held.attempts.push(Attempt { shard, zone: target.zone, epoch: lane.epoch, at: now, outcome: None });
+        let (zone, epoch) = (target.zone, lane.server.epoch);
+        held.attempts.push(Attempt { shard, zone, epoch, at: now, outcome: None });
         // What only shows whether the way is open need not wait out its client's time.
         let abandon_at = held.deadline.min(if tries { now + TRIAL * self.tightest } else { f64::INFINITY });
         actions.push(Action::Send { request: id, node: target.node, abandon_at });
@@ -932,7 +929,11 @@
         let memory = limits.map(|l| l.burst / l.rate).fold(MEMORY, f64::max);
         self.volumes.retain(|_, volume| self.now - volume.at < memory);
         self.order.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
-        self.lanes.values_mut().for_each(|l| l.volume_finish.retain(|_, finish| *finish > l.volume_time));
+        self.budget_left();
+        self.lanes.visit(&mut self.index.tagged, |lane| {
+            lane.volume_finish.retain(|_, finish| *finish > lane.volume_time);
+            !lane.volume_finish.is_empty()
+        });
         for class in self.classes.iter_mut().filter(|c| c.tick.1 > 0) {
             let (sum, count) = std::mem::take(&mut class.tick);
             class.samples = (class.samples.0 + sum / f64::from(count), class.samples.1 + 1);
--- /dev/null
+++ b/tests/equivalence/world.rs
@@ -0,0 +1,456 @@
+//! A small model of what surrounds a head, drawn by chance: clients, nodes that answer, and a node list that changes.
+//! It drives the module and its reference side by side.
+
+use super::draw::{Draw, latency, level, outcome, settings};
+use super::pair::Pair;
+use flaxgap::api::*;
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How large a life is.
+#[derive(Clone, Copy)]
+pub struct Size {
+    /// Nodes at the start, each with a shard of its own.
+    pub nodes: u32,
+    /// Calls of the module.
+    pub steps: u32,
+    /// Most new requests in one call.
+    pub requests: u32,
+}
+
+/// How often each kind of action and of change was met.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    sends: u64,
+    repeats: u64,
+    new_objects: u64,
+    called_off: u64,
+    refusals: u64,
+    failures: u64,
+    withheld: u64,
+    wake_ups: u64,
+    watches: u64,
+    lists: u64,
+    drains: u64,
+    replacements: u64,
+    zone_losses: u64,
+    shard_moves: u64,
+    started: u64,
+}
+
+impl Seen {
+    /// How often the rarest of them was met.
+    pub fn rarest(&self) -> u64 {
+        let actions =
+            [self.sends, self.repeats, self.new_objects, self.called_off, self.refusals, self.failures];
+        let others = [self.withheld, self.wake_ups, self.watches, self.lists, self.started];
+        let changes = [self.drains, self.replacements, self.zone_losses, self.shard_moves];
+        actions.into_iter().chain(others).chain(changes).min().unwrap_or(0)
+    }
+
+    /// Adds what another life met.
+    pub fn add(&mut self, other: &Seen) {
+        self.sends += other.sends;
+        self.repeats += other.repeats;
+        self.new_objects += other.new_objects;
+        self.called_off += other.called_off;
+        self.refusals += other.refusals;
+        self.failures += other.failures;
+        self.withheld += other.withheld;
+        self.wake_ups += other.wake_ups;
+        self.watches += other.watches;
+        self.lists += other.lists;
+        self.drains += other.drains;
+        self.replacements += other.replacements;
+        self.zone_losses += other.zone_losses;
+        self.shard_moves += other.shard_moves;
+        self.started += other.started;
+    }
+}
+
+/// An attempt that is out at a node.
+struct Out {
+    request: RequestId,
+    attempt: usize,
+    sent: f64,
+    due: f64,
+    outcome: Outcome,
+}
+
+/// What the client side knows of a request that has no answer yet.
+#[derive(Default)]
+struct Open {
+    sends: usize,
+    any_node: bool,
+}
+
+/// One life of a head and its surroundings.
+pub struct World {
+    draw: Draw,
+    size: Size,
+    set: Settings,
+    pair: Pair,
+    /// Changes of the list for each call, and the part of calls that bring requests.
+    unrest: f64,
+    traffic: f64,
+    now: f64,
+    listed: Vec<NodeInfo>,
+    last_seen: Vec<NodeInfo>,
+    next_node: u64,
+    next_request: u32,
+    open: BTreeMap<RequestId, Open>,
+    out: Vec<Out>,
+    wake_at: f64,
+    seen: Seen,
+}
+
+impl World {
+    /// The life that a seed stands for.
+    pub fn new(seed: u64, size: Size) -> World {
+        let mut draw = super::draw::seeded(seed);
+        let set = settings(&mut draw);
+        let now = draw.random_range(0.0..500.0);
+        let node = |number: u32| NodeInfo {
+            node: NodeId(u64::from(number)),
+            shard: ShardId(number),
+            since: 0.0,
+            zone: ZoneId((number % 3) as u16),
+            state: NodeState::Ready,
+        };
+        let listed: Vec<NodeInfo> = (0..size.nodes).map(node).collect();
+        World {
+            pair: Pair::new(set.clone(), seed, now),
+            unrest: [0.01, 0.05, 0.2][draw.random_range(0..3)],
+            traffic: [0.2, 0.5, 0.8][draw.random_range(0..3)],
+            draw,
+            size,
+            set,
+            now,
+            last_seen: listed.clone(),
+            listed,
+            next_node: u64::from(size.nodes),
+            next_request: 0,
+            open: BTreeMap::new(),
+            out: Vec::new(),
+            wake_at: f64::INFINITY,
+            seen: Seen::default(),
+        }
+    }
+
+    /// Plays it to its end.
+    pub fn play(mut self) -> Seen {
+        if self.chance(0.9) {
+            let kind = if self.chance(0.5) { ListKind::Whole } else { ListKind::Cached };
+            let nodes = self.listed.clone();
+            self.call(&[Event::Nodes { kind, nodes }]);
+        }
+        for _ in 0..self.size.steps {
+            self.step();
+        }
+        self.seen.withheld = self.pair.agreed_withheld();
+        self.seen
+    }
+
+    fn chance(&mut self, part: f64) -> bool {
+        self.draw.random_bool(part)
+    }
+
+    fn step(&mut self) {
+        self.pass_time();
+        let mut events = self.answers();
+        if self.wake_at <= self.now || self.chance(0.05) {
+            self.wake_at = f64::INFINITY;
+            events.push(Event::WakeUp);
+        }
+        if self.chance(self.unrest) {
+            events.push(self.list_event());
+        }
+        if self.chance(self.traffic) {
+            for _ in 0..self.draw.random_range(0..=self.size.requests) {
+                events.push(Event::Request(self.request()));
+            }
+        }
+        if self.chance(0.12) {
+            events.extend(self.word_on_a_request());
+        }
+        if self.chance(0.02) {
+            events.push(Event::Level(level(&mut self.draw, &self.set, self.now)));
+        }
+        if self.chance(0.01) {
+            let part = [0.25, 0.5, 1.0][self.draw.random_range(0..3)];
+            events.push(Event::Share { part });
+        }
+        self.call(&events);
+    }
+
+    /// To the next wake-up or answer, or on by some time.
+    fn pass_time(&mut self) {
+        let answer = self.out.iter().map(|out| out.due).fold(f64::INFINITY, f64::min);
+        let next = self.wake_at.min(answer);
+        let jump = match self.draw.random_range(0..20) {
+            0..3 => 0.0,
+            3..10 => self.draw.random_range(0.0..0.02),
+            10..12 => self.draw.random_range(0.0..0.3),
+            12 if self.chance(0.2) => self.draw.random_range(0.0..90.0),
+            _ if next.is_finite() => (next - self.now).max(0.0),
+            _ => 0.05,
+        };
+        self.now += jump;
+    }
+
+    /// The outcomes that are due, and now and then one that nobody waits for.
+    fn answers(&mut self) -> Vec<Event> {
+        let (now, mut events) = (self.now, Vec::new());
+        let (due, out) = std::mem::take(&mut self.out).into_iter().partition(|out| out.due <= now);
+        self.out = out;
+        for Out { request, attempt, sent, outcome, .. } in due {
+            let answered = !self.open.contains_key(&request);
+            let done = answered || outcome == Outcome::Ok || self.chance(0.05);
+            if done {
+                self.open.remove(&request);
+            }
+            let (elapsed, last) = (now - sent, self.chance(0.05));
+            events.push(ended(request, attempt, outcome, (elapsed, done, last)));
+            if self.chance(0.02) {
+                events.push(ended(request, attempt, Outcome::Ok, (elapsed, true, false)));
+            }
+        }
+        if self.chance(0.01) {
+            events.push(ended(RequestId(u32::MAX - 1), 0, Outcome::Ok, (0.1, true, false)));
+        }
+        events
+    }
+
+    /// The start of an answer or a client's leaving, mostly of a request that is known.
+    fn word_on_a_request(&mut self) -> Option<Event> {
+        if self.chance(0.1) {
+            return Some(Event::Started { request: RequestId(self.draw.random_range(0..1000)) });
+        }
+        if self.chance(0.6) && !self.out.is_empty() {
+            let place = self.draw.random_range(0..self.out.len());
+            self.seen.started += 1;
+            return Some(Event::Started { request: self.out[place].request });
+        }
+        let place = self.draw.random_range(0..self.open.len().max(1));
+        let request = self.open.keys().nth(place).copied()?;
+        self.open.remove(&request);
+        Some(Event::ClientGone { request })
+    }
+
+    fn request(&mut self) -> Request {
+        let id = RequestId(if self.next_request > 0 && self.chance(0.01) {
+            self.draw.random_range(0..self.next_request)
+        } else {
+            self.next_request += 1;
+            self.next_request - 1
+        });
+        let unknown = usize::from(self.chance(0.02));
+        let class = self.draw.random_range(0..self.set.classes.len() + unknown);
+        let volume = self.draw.random_range(0..12);
+        let plans = self.set.plans.len() as u64;
+        let plan = if self.chance(0.03) { self.draw.random_range(0..=plans) } else { volume % plans.max(1) };
+        let deadline = self.set.classes.get(class).map_or(1.0, |class| class.deadline);
+        let remaining = match self.draw.random_range(0..20) {
+            0 => 0.0,
+            1..4 => deadline * self.draw.random_range(0.01..1.2),
+            _ => deadline,
+        };
+        // Most of what a head has goes to few of many shards.
+        let shards = if self.chance(0.7) { self.size.nodes.min(4) } else { self.size.nodes + 1 };
+        let shard = (!self.chance(0.15)).then(|| ShardId(self.draw.random_range(0..shards)));
+        Request {
+            id,
+            class: ClassId(class),
+            plan: PlanId(plan as usize),
+            volume: VolumeId(volume),
+            extent: self.chance(0.7).then(|| ExtentId(self.draw.random_range(0..40))),
+            shard,
+            remaining,
+            units: self.draw.random_range(-0.1..self.set.most_units.max(1.0)),
+            hosts: self.draw.random_range(0..5),
+            repeat: self.chance(0.1),
+        }
+    }
+
+    fn list_event(&mut self) -> Event {
+        self.seen.lists += 1;
+        if self.chance(0.1) {
+            self.last_seen = self.listed.clone();
+        }
+        let (kind, nodes) = match self.draw.random_range(0..20) {
+            0 => (ListKind::Whole, self.listed.clone()),
+            1 => (ListKind::Cached, self.last_seen.clone()),
+            2 => (ListKind::Failed, Vec::new()),
+            3 => (ListKind::Failed, self.changes()),
+            4 => {
+                let mut nodes = self.listed.clone();
+                nodes.retain(|_| self.draw.random_bool(0.8));
+                (ListKind::Whole, nodes)
+            }
+            5 => {
+                let mut nodes = self.listed.clone();
+                nodes.reverse();
+                nodes.extend(self.changes());
+                (ListKind::Whole, nodes)
+            }
+            _ => (ListKind::Changes, self.changes()),
+        };
+        Event::Nodes { kind, nodes }
+    }
+
+    /// Changes the list, and tells the entries that say so.
+    fn changes(&mut self) -> Vec<NodeInfo> {
+        let changed = match self.draw.random_range(0..10) {
+            0 => self.change_zone(),
+            1 => self.replacement(),
+            2 => self.move_to_another_shard(),
+            _ => {
+                let some = self.draw.random_range(1..4);
+                (0..some).map(|_| self.change_one()).collect()
+            }
+        };
+        for info in &changed {
+            let same = |known: &NodeInfo| (known.node, known.shard) == (info.node, info.shard);
+            self.listed.retain(|known| !same(known));
+            self.listed.extend((info.state != NodeState::Gone).then(|| info.clone()));
+        }
+        changed
+    }
+
+    fn any_node(&mut self) -> NodeInfo {
+        let first = self.chance(0.5) && self.listed.len() > 4;
+        let near = if first { 4 } else { self.listed.len() };
+        let unknown = NodeInfo {
+            node: NodeId(self.next_node),
+            shard: ShardId(self.draw.random_range(0..self.size.nodes + 2)),
+            since: 0.0,
+            zone: ZoneId(0),
+            state: NodeState::Ready,
+        };
+        if near == 0 || self.chance(0.03) {
+            self.next_node += 1;
+            return unknown;
+        }
+        let place = self.draw.random_range(0..near);
+        let lowest = self.listed.iter().position(|info| info.shard.0 < 4).filter(|_| first);
+        self.listed[lowest.unwrap_or(place)].clone()
+    }
+
+    fn change_one(&mut self) -> NodeInfo {
+        let (now, info) = (self.now, self.any_node());
+        match self.draw.random_range(0..7) {
+            0 => {
+                self.seen.drains += 1;
+                NodeInfo { state: NodeState::Draining, ..info }
+            }
+            1 => NodeInfo { state: NodeState::Gone, ..info },
+            2 => NodeInfo { zone: ZoneId(self.draw.random_range(0..3)), ..info },
+            3 | 4 => NodeInfo { since: now, state: NodeState::Ready, ..info },
+            5 => NodeInfo { since: self.draw.random_range(0.0..=now), ..info },
+            _ => NodeInfo { state: NodeState::Ready, ..info },
+        }
+    }
+
+    /// Another node takes a shard over; the one before drains, goes, or stays.
+    fn replacement(&mut self) -> Vec<NodeInfo> {
+        self.seen.replacements += 1;
+        let old = self.any_node();
+        let heir = NodeInfo { node: NodeId(self.next_node), since: self.now, state: NodeState::Ready, ..old };
+        self.next_node += 1;
+        let state = [NodeState::Draining, NodeState::Gone, NodeState::Ready][self.draw.random_range(0..3)];
+        vec![NodeInfo { state, ..old }, heir]
+    }
+
+    /// A node holds another shard from now on, and the list may or may not say that the old one lost it.
+    fn move_to_another_shard(&mut self) -> Vec<NodeInfo> {
+        self.seen.shard_moves += 1;
+        let old = self.any_node();
+        let shard = ShardId(self.draw.random_range(0..self.size.nodes));
+        let moved = NodeInfo { shard, since: self.now, ..old.clone() };
+        let told = self.chance(0.5).then_some(NodeInfo { state: NodeState::Gone, ..old });
+        told.into_iter().chain([moved]).collect()
+    }
+
+    /// A zone goes, drains or comes back.
+    fn change_zone(&mut self) -> Vec<NodeInfo> {
+        self.seen.zone_losses += 1;
+        let zone = ZoneId(self.draw.random_range(0..3));
+        let state = [NodeState::Draining, NodeState::Gone, NodeState::Ready][self.draw.random_range(0..3)];
+        let from = if state == NodeState::Ready { &self.last_seen } else { &self.listed };
+        let of_zone = from.iter().filter(|info| info.zone == zone);
+        of_zone.map(|info| NodeInfo { state, ..info.clone() }).collect()
+    }
+
+    /// Tells both modules, and does what they ask for.
+    fn call(&mut self, events: &[Event]) {
+        for event in events {
+            if let Event::Request(ask) = event {
+                let open = Open { any_node: ask.shard.is_none(), ..Open::default() };
+                self.open.entry(ask.id).or_insert(open);
+            }
+        }
+        let actions = self.pair.tell(self.now, events);
+        let is_answer = |action: &Action| match action {
+            Action::Refuse { request, .. } | Action::Fail { request } => Some(*request),
+            _ => None,
+        };
+        let answered: BTreeSet<RequestId> = actions.iter().filter_map(is_answer).collect();
+        for action in actions {
+            self.act(action, &answered);
+        }
+    }
+
+    fn act(&mut self, action: Action, answered: &BTreeSet<RequestId>) {
+        match action {
+            Action::Send { request, abandon_at, .. } => {
+                let open = self.open.entry(request).or_default();
+                let (attempt, any_node) = (open.sends, open.any_node);
+                open.sends += 1;
+                self.seen.sends += 1;
+                self.seen.repeats += u64::from(attempt > 0);
+                self.seen.new_objects += u64::from(any_node);
+                let due = self.now + latency(&mut self.draw);
+                let (due, outcome) = match abandon_at < due {
+                    true => (abandon_at, Outcome::Timeout),
+                    false => (due, outcome(&mut self.draw)),
+                };
+                self.out.push(Out { request, attempt, sent: self.now, due, outcome });
+            }
+            Action::Cancel { request, attempt } => {
+                let called_off = self.open.contains_key(&request) && !answered.contains(&request);
+                self.seen.called_off += u64::from(called_off);
+                let crossed = self.chance(0.1);
+                let now = self.now + self.draw.random_range(0.0..0.002);
+                let same = |out: &&mut Out| (out.request, out.attempt) == (request, attempt);
+                if let Some(out) = self.out.iter_mut().find(same) {
+                    out.due = now;
+                    out.outcome = if crossed { out.outcome } else { Outcome::Cancelled };
+                }
+            }
+            Action::Refuse { request, .. } => {
+                self.seen.refusals += 1;
+                self.open.remove(&request);
+            }
+            Action::Fail { request } => {
+                self.seen.failures += 1;
+                self.open.remove(&request);
+            }
+            Action::WakeUp { delay } => {
+                self.seen.wake_ups += 1;
+                self.wake_at = self.now + delay;
+            }
+            Action::WatchNodes => self.seen.watches += 1,
+            Action::Probe { .. } | Action::Log(_) => {}
+        }
+    }
+}
+
+fn ended(
+    request: RequestId,
+    attempt: usize,
+    outcome: Outcome,
+    (elapsed, done, last): (f64, bool, bool),
+) -> Event {
+    let (used, elsewhere, report) = (None, 0.0, Report::default());
+    Event::Outcome { request, attempt, outcome, elapsed, done, last, used, elsewhere, report }
+}
