--- a/crates/distribution/src/selection.rs
+++ b/crates/distribution/src/selection.rs
@@ -17,7 +17,8 @@
     /// The first try without a relay comes within this time, in seconds: at the coming size, where a whole region's
     /// relays are lost, 210 calls in a second for each of the other region's.
     pub first_try_s: f64,
-    /// The second watch is opened within this time, in seconds.
+    /// The second watch is opened within this time, in seconds: at the coming size, where one relay is lost, 5 calls in a
+    /// second for each other one of the region if they were spread evenly.
     pub second_s: f64,
     /// A head moves back to a better relay within this time, in seconds.
     pub return_s: f64,
@@ -92,7 +93,7 @@
     Silent,
     /// The connection broke.
     Broke,
-    /// The relay ended the watch in due form.
+    /// The relay ended the watch in due form: it is asked again soon.
     Ended,
     /// The relay asks to come again later.
     Busy {
@@ -286,7 +287,10 @@
             LostReason::Ended if watch.open_since.is_none_or(|since| now - since < 1.0) => {
                 self.note_failure(watch, now);
             }
-            LostReason::Ended => {}
+            LostReason::Ended => {
+                let soon = now + self.draw.between(0.0, self.pacing.first_try_s);
+                self.second_due = Some(self.second_due.map_or(soon, |due| due.min(soon)));
+            }
             LostReason::Busy { retry_after_s } => {
                 self.standings[watch.relay].busy_until = now + retry_after_s;
             }
--- a/crates/distribution/tests/world/head.rs
+++ b/crates/distribution/tests/world/head.rs
@@ -247,6 +247,7 @@
         watch.last_word = now;
         match word {
             Word::Lost(reason) => self.head_loses(head, slot, reason),
+            Word::Heartbeat if self.heads[head].selection.is_open(slot) => return,
             Word::Heartbeat => self.heads[head].selection.opened(slot, now),
             Word::Text(text) => {
                 self.heads[head].selection.opened(slot, now);
--- a/crates/distribution/tests/world/relay.rs
+++ b/crates/distribution/tests/world/relay.rs
@@ -7,7 +7,7 @@
 use flaxgap_distribution::selection::{LostReason, RelayInfo, Slot};
 use flaxgap_distribution::watcher::{Next, Watcher};
 use rand::Rng;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What one head's line takes, in bytes per second.
 const LINE_BYTES_PER_S: f64 = 12.5e6;
@@ -94,12 +94,21 @@
         self.served.len()
     }
 
-    /// The most of something in any second.
-    pub fn most_in_a_second(times: impl Iterator<Item = (f64, usize)> + Clone) -> usize {
-        let sum = |(start, _): (f64, usize)| {
-            times.clone().filter(|(at, _)| (start..start + 1.0).contains(at)).map(|(_, count)| count).sum()
-        };
-        times.clone().map(sum).max().unwrap_or_default()
+    /// The most of something in any second; the times are in their order.
+    pub fn most_in_a_second(times: impl Iterator<Item = (f64, usize)>) -> usize {
+        let (mut window, mut sum, mut most) = (VecDeque::new(), 0, 0);
+        for (at, count) in times {
+            window.push_back((at, count));
+            sum += count;
+            while let Some((first, old)) = window.front()
+                && *first <= at - 1.0
+            {
+                sum -= old;
+                window.pop_front();
+            }
+            most = most.max(sum);
+        }
+        most
     }
 
     fn note_bytes_held(&mut self) {
