A relay that is asked again is asked with the version that is known

Cause: after a line that jumps over a known version the second call named the version that the relay itself had last told. Change: a watch keeps the version it asks with beside what the relay told; a test plays the relay.

--- a/src/discovery/directory.rs
+++ b/src/discovery/directory.rs
@@ -247,8 +247,8 @@
         progress: &mut Progress,
     ) -> Update {
         let anew = progress.intake.wants_whole(self.dispatcher.clock().now());
-        let cursor = progress.intake.source().cursor();
-        let query = || if anew || progress.whole.take() { Query::Whole } else { Query::Since(cursor) };
+        let since = progress.since;
+        let query = || if anew || progress.whole.take() { Query::Whole } else { Query::Since(since) };
         let update = subscription.next(query).await;
         if matches!(update, Update::List(..) | Update::Alive) {
             self.last_message.set(Instant::now());
@@ -307,6 +307,7 @@
             log::info!("discovery: version {}, {} entries, {kind}", list.rev, list.len());
         }
         self.apply(list, told, ListKind::Changes);
+        progress.since = told.cursor();
         let was_behind = std::mem::replace(&mut progress.behind, told.is_behind());
         if progress.behind && !was_behind {
             let (version, known) = (told.cursor(), self.version());
@@ -348,6 +349,8 @@
 /// How far one source has come with what it tells.
 pub(super) struct Progress {
     address: SocketAddr,
+    /// The version after which it is asked for changes.
+    since: u64,
     intake: Intake,
     whole: Whole,
     behind: bool,
@@ -356,7 +359,14 @@
 impl Progress {
     /// Of a source that is to be asked for what comes after a version.
     pub(super) fn since(address: SocketAddr, version: u64) -> Progress {
-        Progress { address, intake: Intake::new(version), whole: Whole::wanted(false), behind: false }
+        let (intake, whole) = (Intake::new(version), Whole::wanted(false));
+        Progress { address, since: version, intake, whole, behind: false }
+    }
+
+    /// The same source is asked once more, for what comes after a version.
+    pub(super) fn ask_again(&mut self, version: u64) {
+        self.since = version;
+        self.intake.asks(version);
     }
 
     /// How its lists fit among those of another source that is followed beside it.
--- a/src/discovery/relays.rs
+++ b/src/discovery/relays.rs
@@ -181,7 +181,7 @@
                 Verdict::Take => self.directory.take_update(update, &mut progress, &mut subscription),
                 Verdict::Known => {}
                 Verdict::AskAgain => {
-                    progress.intake().asks(self.directory.version());
+                    progress.ask_again(self.directory.version());
                     subscription = self.subscription();
                 }
             }
@@ -225,3 +225,6 @@
         _ => LostReason::Refused,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/discovery/relays/tests.rs
@@ -0,0 +1,155 @@
+//! Tests of one watch against a relay in the test's own thread.
+
+use super::*;
+use crate::api::ListKind;
+use crate::bans::Bans;
+use crate::core::{Clock, Dispatcher};
+use crate::counters::Counters;
+use crate::descriptors::Budget;
+use crate::memory::Memory;
+use crate::node::Nodes;
+use flaxgap_distribution::selection::{Locality, RelayInfo};
+use flaxgap_membership::Source;
+use flaxgap_membership::wire::List;
+use std::future::Future;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+
+/// Longest wait; only failures take that long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Of an installation with one class and one plan.
+const SETTINGS: &str = r#"{"bounds":{"cancel":true,"conn_idle":15.0,"connect_timeout":0.5,"max_attempts":3,
+ "max_retry_after":2.0,"retry_after":true},
+ "classes":[{"aim":0.4,"deadline":2.0,"idempotency":"safe","late_worth":0.2,"name":"play-fetch","worth":3.0}],
+ "domain":{"changes_data":[false],"cold_units":42.0,"idle_worth":0.08,"unit_mean":2.05,"units_top":8,
+ "use_period":1.0,"within_share":0.35},
+ "guarantees":{"cold_from":0.17,"drain_grace":0.25,"fall":3.0,"tip_multiple":3.0,"warm_within":16.0},"membership_mode":"push",
+ "n_instances":1,"period":0.002,"report":{"names":["rif"],"source":"answers"},"zones":["a"],
+ "service_levels":[{"base_rate":400.0,"name":"network","reserve":400.0,"value_factor":0.9,"weight":3.0}]}"#;
+
+fn directory() -> Rc<Directory> {
+    let (settings, notes) = crate::config::read(SETTINGS.as_bytes()).expect("settings");
+    let counters = Counters::new(&notes.class_names);
+    let budget = Budget::new(100, counters.clone());
+    let nodes = Nodes::new(budget, Memory::new(64), counters.clone(), 0.5, 15.0, 1);
+    let dispatcher = Dispatcher::new(settings, 1, Clock::start(), counters.clone()).expect("served");
+    let schedule = PollSchedule::new(1, 1, true, Duration::ZERO);
+    Directory::new(dispatcher, nodes, counters, Rc::new(Bans::load(None, "n0")), vec!["a".into()], schedule)
+}
+
+fn list(rev: u64, all: bool, name: &str, state: &str) -> String {
+    format!(
+        r#"{{"rev":{rev},"all":{all},"targets":[{{"uid":"{name}","endpoint":"127.0.0.1:9","az":"a","pod_group":0,"state":"{state}","boot_ms":0}}]}}"#
+    )
+}
+
+/// A call on a relay.
+struct Call {
+    line: String,
+    stream: TcpStream,
+}
+
+impl Call {
+    async fn accept(listener: &TcpListener) -> Call {
+        let (mut stream, _) = timeout(PATIENCE, listener.accept()).await.expect("in time").expect("a call");
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await.expect("a head"));
+        }
+        let line = String::from_utf8_lossy(&head).lines().next().unwrap_or_default().to_string();
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.expect("written");
+        Call { line, stream }
+    }
+
+    async fn say(&mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+        self.stream.write_all(chunk.as_bytes()).await.expect("written");
+    }
+}
+
+/// Runs a watch on a relay that the test plays.
+fn with_watch<F: Future<Output = ()>>(
+    test: impl FnOnce(Rc<Directory>, TcpListener, mpsc::Receiver<(Slot, Report)>) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let directory = directory();
+        let relays =
+            vec![RelayInfo { name: "relay-1".into(), address, region: "r1".into(), zone: "a".into() }];
+        let locality = Locality { region: "r1".into(), zone: "a".into() };
+        let distribution = Distribution { locality, relays };
+        let mut follower = RelayFollower::new(directory.clone(), "n0", &distribution, 1)
+            .expect("relays that can be followed");
+        let later = directory.clock().now() + 2.0;
+        let opened = follower.selection.poll(later).into_iter().find_map(|directive| match directive {
+            Directive::Open { slot, .. } => Some(slot),
+            Directive::Close { .. } => None,
+        });
+        let watch = Watch {
+            slot: opened.expect("a watch"),
+            address,
+            directory: directory.clone(),
+            schedule: follower.schedule.clone(),
+            reports: follower.sender.clone(),
+        };
+        spawn_local(watch.run());
+        test(directory, listener, follower.reports).await;
+    });
+}
+
+async fn reaches(directory: &Directory, version: u64) {
+    let reached = async {
+        while directory.version() < version {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(PATIENCE, reached).await.expect("the list is taken in");
+}
+
+/// A line that jumps over a version which came from the other relay may lack what changed and changed back.
+#[test]
+fn a_relay_that_jumps_over_a_known_version_is_asked_again_with_that_version() {
+    with_watch(|directory, listener, _reports| async move {
+        let mut first = Call::accept(&listener).await;
+        assert!(first.line.contains("follow=1&since=0"), "{}", first.line);
+        first.say(&list(1, true, "s-1", "ready")).await;
+        reaches(&directory, 1).await;
+        let other = List::parse(list(3, false, "s-1", "draining").as_bytes()).expect("a list");
+        directory.apply(other, &mut Source::at(1), ListKind::Changes);
+        first.say(&list(4, false, "s-2", "ready")).await;
+        let mut second = Call::accept(&listener).await;
+        assert!(second.line.contains("follow=1&since=3"), "{}", second.line);
+        assert_eq!(directory.version(), 3, "what jumps over it is left");
+        second.say(&list(4, false, "s-2", "ready")).await;
+        reaches(&directory, 4).await;
+    });
+}
+
+/// A head that is told how its watch ended can tell a relay that is busy from one that fails.
+#[test]
+fn the_end_of_a_watch_is_told_with_its_reason() {
+    with_watch(|_, listener, mut reports| async move {
+        let mut call = Call::accept(&listener).await;
+        call.say("").await;
+        let report = timeout(PATIENCE, reports.recv()).await.expect("in time").expect("a report").1;
+        assert!(matches!(report, Report::Opened));
+        call.stream.write_all(b"0\r\n\r\n").await.expect("written");
+        let report = timeout(PATIENCE, reports.recv()).await.expect("in time").expect("a report").1;
+        assert!(matches!(report, Report::Lost(LostReason::Ended)));
+        let again = timeout(Duration::from_millis(300), listener.accept()).await;
+        assert!(again.is_err(), "the watch does not call again by itself");
+    });
+    with_watch(|_, listener, mut reports| async move {
+        let (mut stream, _) = listener.accept().await.expect("a call");
+        let _ = stream.read(&mut [0; 1024]).await.expect("a head");
+        let busy = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(busy).await.expect("written");
+        let report = timeout(PATIENCE, reports.recv()).await.expect("in time").expect("a report").1;
+        assert!(matches!(report, Report::Lost(LostReason::Busy { retry_after_s: 7.0 })));
+    });
+}
