A relay finds its upstream's return within a second; discovery that counts anew, end to end

Cause: pauses between a relay's calls grew to 1.5 s while its upstream was away. Change: they begin anew each second while no call is out. A test has discovery lose its versions behind a relay.

--- a/src/bin/flaxgap-relay/relay.rs
+++ b/src/bin/flaxgap-relay/relay.rs
@@ -25,8 +25,11 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// The upstream is asked as by a small fleet: relays are few, and its return is to be found within a second or so.
+/// The upstream is asked as by a small fleet: relays are few.
 const CALLERS: u32 = 1;
+/// While no call is out and no watch stands, the pauses between calls begin anew this often, so that the upstream's return
+/// is found within a second.
+const PAUSES_RESTART: Duration = Duration::from_secs(1);
 /// How often whole lists that take too long are looked for while any are being sent.
 const OVERDUE_CHECK: Duration = Duration::from_secs(1);
 /// How long connections may take to end after SIGTERM.
@@ -361,6 +364,7 @@
                     self.take_update(update, &owed, &mut subscription);
                 }
                 () = self.reached(lease_ends) => {}
+                () = sleep(PAUSES_RESTART) => subscription.restart_pauses(),
             }
             let is_current = self.replica().status(self.now()) == Status::Current;
             if std::mem::replace(&mut was_current, is_current) != is_current {
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -216,6 +216,14 @@
         self.due = Some(self.due.map_or(due, |before| before.min(due)));
     }
 
+    /// Where no call is out and no watch stands, the next call is made as after a first failure: for an owner that can't
+    /// wait as long as many failures have the next call wait.
+    pub fn restart_pauses(&mut self) {
+        if self.out.is_empty() && self.standing.is_none() {
+            self.due = self.poller.ended(CallEnd::Broke).map(|pause| Instant::now() + pause).or(self.due);
+        }
+    }
+
     /// The known list is delivered again if it comes once more, and read in full: its source's versions are in doubt.
     pub fn forget_known_list(&mut self) {
         self.known = None;
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -385,6 +385,28 @@
     assert_eq!(relay.counter("version"), 7);
 }
 
+#[test]
+fn a_discovery_that_counts_its_versions_anew_reaches_heads_through_a_relay() {
+    let (leaving, staying) = two_bricks();
+    let first = entries((&leaving, "ready"), &staying);
+    let mut second = entries((&leaving, "draining"), &staying);
+    second.push(entry("s-3", staying.address, 0, "ready"));
+    let discovery = Agent::start(move |number, line| match (number, line.contains("follow=1")) {
+        (0, _) => vec![Say::Line(list(50, true, &first))],
+        (1, _) => vec![Say::Line(list(50, false, &[])), Say::Pause(Duration::from_secs(1)), Say::Close],
+        _ => vec![Say::Line(list(2, true, &second))],
+    });
+    let relay = Relay::start("relay-1", discovery.address).current();
+    let head = head(&[&relay], "null");
+    excluded(&head, 1, Duration::from_secs(5));
+    assert_eq!(gauge(&head, "bricks_known"), 2, "an older list may only take nodes out");
+    wait(|| (relay.counter("generation") == 1).then_some(()));
+    assert_eq!(relay.counter("version"), 2);
+    wait(|| (gauge(&head, "bricks_known") == 3).then_some(()));
+    assert_eq!(gauge(&head, "bricks_excluded"), 1);
+    is_left_alone(&head, &leaving);
+}
+
 #[test]
 fn a_watcher_that_does_not_read_is_cut_off_and_others_get_each_change() {
     let brick: SocketAddr = ([127, 0, 0, 1], 9).into();
