--- a/src/bin/flaxgap-relay/relay.rs
+++ b/src/bin/flaxgap-relay/relay.rs
@@ -1,18 +1,17 @@
-//! The relay's state, and what runs as long as the program: following the upstream, admitting whole lists, signals.
+//! The relay's state, its sessions, and its run from start to end. [`follow`] keeps the copy, [`whole_lists`] bounds what
+//! is sent of it as a whole.
+
+mod follow;
+mod whole_lists;
 
 use crate::counters::{Counters, Report};
 use crate::http;
 use crate::session::{Handle, Kind, Session};
 use crate::settings::Settings;
-use bytes::Bytes;
 use flaxgap::core::Clock;
-use flaxgap::discovery::client::{CountedTcp, Query, Subscription, Update};
-use flaxgap::discovery::schedule::PollSchedule;
-use flaxgap::discovery::whole::Whole;
-use flaxgap_distribution::admission::{Admission, AdmissionLimits, Admit, Ticket};
+use flaxgap_distribution::admission::{Admission, AdmissionLimits, Ticket};
 use flaxgap_distribution::replica::{Limits, Replica, Status};
 use flaxgap_distribution::watcher::Watcher;
-use flaxgap_membership::compact::CompactList;
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{BuildHasher, RandomState};
@@ -23,15 +22,8 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 
-/// The upstream is asked as by a small fleet: relays are few.
-const CALLERS: u32 = 1;
-/// While no call is out and no watch stands, the pauses between calls begin anew this often, so that the upstream's return
-/// is found within a second.
-const PAUSES_RESTART: Duration = Duration::from_secs(1);
-/// How often whole lists that take too long are looked for while any are being sent.
-const OVERDUE_CHECK: Duration = Duration::from_secs(1);
 /// How long connections may take to end after SIGTERM.
 const END_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -276,176 +268,6 @@
     }
 }
 
-/// Whole lists.
-impl Relay {
-    /// Asks for the admission of one whole list.
-    pub fn request_whole(&self) -> Admit {
-        let bytes = match self.replica.borrow_mut().snapshot() {
-            Ok(text) => text.len(),
-            Err(problem) => {
-                log::error!("relay: {problem}");
-                0
-            }
-        };
-        let admit = self.admission.borrow_mut().request(bytes, self.now());
-        self.admission_changed.notify_one();
-        admit
-    }
-
-    /// Whose whole list a ticket stands for.
-    pub fn register_ticket(&self, ticket: Ticket, handle: &Rc<Handle>) {
-        self.tickets.borrow_mut().insert(ticket, handle.clone());
-    }
-
-    /// The whole list, for a session that has it admitted; none if it can't be told any more.
-    pub fn take_whole(&self, watcher: &mut Watcher) -> Option<Bytes> {
-        let taken = watcher.take_whole(&mut self.replica.borrow_mut(), self.now());
-        if let Err(problem) = &taken {
-            log::error!("relay: {problem}");
-        }
-        let text = taken.ok().flatten()?;
-        self.counters.whole_sent.add(1);
-        Some(text)
-    }
-
-    /// A whole list was sent, or its session has ended.
-    pub fn whole_finished(&self, ticket: Ticket) {
-        self.tickets.borrow_mut().remove(&ticket);
-        self.admission.borrow_mut().finished(ticket);
-        self.admission_changed.notify_one();
-    }
-
-    /// Lets the next whole lists be sent as places and the rate allow, and ends those that take too long.
-    async fn admit(&self) {
-        loop {
-            let now = self.now();
-            let (admitted, overdue) = {
-                let mut admission = self.admission.borrow_mut();
-                (admission.poll(now), admission.overdue(now))
-            };
-            let handle = |ticket: &Ticket| self.tickets.borrow().get(ticket).cloned();
-            admitted.iter().filter_map(handle).for_each(|handle| handle.admit());
-            overdue.iter().filter_map(handle).for_each(|handle| handle.cut_off());
-            self.counters.slow_readers_ended.add(overdue.len() as u64);
-            tokio::select! {
-                () = self.admission_changed.notified() => {}
-                () = self.next_admission() => {}
-            }
-        }
-    }
-
-    /// Waits until time alone lets something be admitted, or found overdue.
-    async fn next_admission(&self) {
-        let (next_poll, sending) = {
-            let admission = self.admission.borrow();
-            (admission.next_poll(), admission.sending())
-        };
-        match next_poll {
-            Some(at) => sleep_until(self.instant(at)).await,
-            None if sending > 0 => sleep(OVERDUE_CHECK).await,
-            None => std::future::pending().await,
-        }
-    }
-}
-
-/// The upstream.
-impl Relay {
-    /// Follows the upstream for as long as it is polled.
-    async fn follow(&self) {
-        let schedule = PollSchedule::new(CALLERS, drawn_seed(), true, Duration::ZERO);
-        let dial = CountedTcp(self.counters.clone());
-        let mut subscription = Subscription::new(dial, self.settings.upstream, &schedule);
-        let owed = Whole::wanted(false);
-        let mut was_current = false;
-        loop {
-            let lease_ends = self.replica().lease_ends().filter(|_| was_current);
-            tokio::select! {
-                update = subscription.next(|| self.upstream_query(&owed)) => {
-                    self.take_update(update, &owed, &mut subscription);
-                }
-                () = self.reached(lease_ends) => {}
-                () = sleep(PAUSES_RESTART) => subscription.restart_pauses(),
-            }
-            let is_current = self.replica().status(self.now()) == Status::Current;
-            if std::mem::replace(&mut was_current, is_current) != is_current {
-                self.note_status(is_current);
-            }
-        }
-    }
-
-    fn upstream_query(&self, owed: &Whole) -> Query {
-        let replica = self.replica();
-        let whole = owed.take() || replica.wants_whole(self.now());
-        if whole { Query::Whole } else { Query::Since(replica.upstream_cursor()) }
-    }
-
-    fn take_update(
-        &self,
-        update: Update,
-        owed: &Whole,
-        subscription: &mut Subscription<'_, CountedTcp<Counters>>,
-    ) {
-        match update {
-            Update::List(list, query) => {
-                if query == Query::Whole {
-                    owed.told();
-                }
-                self.take_list(list);
-            }
-            Update::Alive => self.replica.borrow_mut().heard(self.now()),
-            Update::Unread(problem) => {
-                log::warn!("relay: passed over: {problem}");
-                self.counters.unread.add(1);
-                owed.lost();
-                subscription.request_soon();
-            }
-            Update::Lost | Update::Ended { .. } => {}
-            Update::Silent(span) => log::warn!("relay: upstream silent for {span:?}"),
-        }
-        if self.replica().wants_whole(self.now()) {
-            subscription.forget_known_list();
-            subscription.request_soon();
-        }
-    }
-
-    fn take_list(&self, list: CompactList) {
-        let unread = list.unread.len() as u64;
-        self.counters.unread.add(unread);
-        let applied = self.replica.borrow_mut().apply(list.into(), self.now());
-        match applied {
-            Ok(applied) => {
-                if applied.changed > 0 {
-                    self.counters.changes.add(1);
-                    log::info!("relay: version {}, {} entries changed", applied.version, applied.changed);
-                }
-                if applied.behind || applied.renumbered {
-                    log::warn!("relay: version {}: upstream is behind, or counts anew", applied.version);
-                }
-            }
-            Err(problem) => log::error!("relay: {problem}"),
-        }
-        self.wake_all();
-    }
-
-    fn note_status(&self, is_current: bool) {
-        let replica = self.replica();
-        if is_current {
-            log::info!("relay: current, version {}, {} nodes", replica.version(), replica.nodes());
-            drop(replica);
-            return self.wake_all();
-        }
-        self.counters.lease_expired.add(1);
-        log::warn!("relay: the lease is over: nothing is told any more; version {}", replica.version());
-    }
-
-    async fn reached(&self, at: Option<f64>) {
-        match at {
-            Some(at) => sleep_until(self.instant(at)).await,
-            None => std::future::pending().await,
-        }
-    }
-}
-
 /// One connection, counted until it is dropped.
 pub struct OpenConnection(Rc<Relay>);
 
