--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -422,12 +422,25 @@
         Head::launch(text, None, &[])
     }
 
+    /// Starts one to which the system itself gives no more descriptors than that, and waits until it is ready.
+    pub fn start_limited(text: &str, descriptors: usize) -> Head {
+        let mut command = Command::new("sh");
+        command.args(["-c", "ulimit -n \"$0\" && exec \"$1\"", &descriptors.to_string()]);
+        command.arg(env!("CARGO_BIN_EXE_flaxgap"));
+        let head = Head::launch_by(command, text, None, &[]);
+        wait(|| (get(head.http, "/-/ready").status() == 200).then_some(()));
+        head
+    }
+
     fn launch(text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
+        Head::launch_by(Command::new(env!("CARGO_BIN_EXE_flaxgap")), text, block, extra)
+    }
+
+    fn launch_by(mut command: Command, text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
         let number = HEADS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         std::fs::write(folder.join("config.json"), text).expect("written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_flaxgap"));
         command.env("LB_CONFIG", folder.join("config.json")).env("RUST_LOG", "info").stderr(Stdio::piped());
         command.env_remove("FLAXGAP_BLOCK").env("LB_OPS", "127.0.0.1:0").env("TMPDIR", &folder);
         command.envs(extra.iter().copied());
@@ -620,7 +633,15 @@
 
 impl Agent {
     pub fn start(script: impl Fn(usize, &str) -> Vec<Say> + Send + Sync + 'static) -> Agent {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Agent::start_at(([127, 0, 0, 1], 0).into(), script)
+    }
+
+    /// The same at an address.
+    pub fn start_at(
+        address: SocketAddr,
+        script: impl Fn(usize, &str) -> Vec<Say> + Send + Sync + 'static,
+    ) -> Agent {
+        let listener = TcpListener::bind(address).expect("a port");
         let address = listener.local_addr().expect("an address");
         let (asked, script) = (Arc::new(Mutex::new(Vec::new())), Arc::new(script));
         let calls = asked.clone();
