--- a/src/discovery/schedule/tests.rs
+++ b/src/discovery/schedule/tests.rs
@@ -93,3 +93,27 @@
     assert!(few.iter().all(|pause| (0.02..1.5).contains(pause)), "a few heads need not wait");
     assert_eq!(PollSchedule::new(8, 5, true, GRACE).first(), Duration::ZERO);
 }
+
+/// Guards against failed calls to a shared server that push the next one past the 6 s after which a change counts as
+/// told: however calls end, and at whatever stage, the next one begins within the longest interval of the last.
+#[tokio::test(start_paused = true)]
+async fn calls_to_a_shared_server_begin_at_most_one_interval_apart_however_they_end() {
+    for hosts in [9, 20, 300, 1024, 4200] {
+        let schedule = PollSchedule::new(hosts, u64::from(hosts), true, GRACE);
+        let mut poller = schedule.poller();
+        for round in 0..400u64 {
+            let began = Instant::now();
+            let due = began + poller.began().expect("an interval");
+            assert!(
+                due - began <= MAX_INTERVAL && due - began > schedule.call(),
+                "{hosts} heads: {:?}",
+                due - began
+            );
+            let end = [CallEnd::NeverOpened, CallEnd::Stalled, CallEnd::Broke][(round % 3) as usize];
+            tokio::time::advance((due - began).mul_f64(schedule.draw())).await;
+            let next = Instant::now() + poller.ended(end).expect("a delay");
+            assert!(next <= due, "{hosts} heads, {end:?}: {:?} after its beginning", next - began);
+            tokio::time::sleep_until(next).await;
+        }
+    }
+}
