--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod fleet;
+pub mod guard;
 pub mod levels;
 pub mod load;
 pub mod measure;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use comfy_table::{Table, presets::NOTHING};
 use flaxgap_lab::fleet::{Fleet, Size};
+use flaxgap_lab::guard;
 use flaxgap_lab::levels::{self, Plan, Row};
 use flaxgap_levels::Settings as Levels;
 use std::process::ExitCode;
@@ -20,6 +21,8 @@
 enum Command {
     /// Drives load up and down around each threshold of the levels of reduced service.
     Levels(LevelsArgs),
+    /// Plays heads of a large fleet before one node that just started.
+    Guard(guard::table::Args),
 }
 
 #[derive(clap::Args)]
@@ -48,8 +51,11 @@
 }
 
 fn main() -> ExitCode {
-    let Command::Levels(args) = Args::parse().command;
-    match run(&args) {
+    let result = match Args::parse().command {
+        Command::Levels(args) => run(&args),
+        Command::Guard(args) => guard::table::run(&args),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("flaxgap-lab: {problem}");
