Take the block front's session apart and end the import circle between login and session

Cause: src/front/block/session.rs had 695 lines with connection, numbering, commands, data, responses and task management in one file; login.rs took its connection and error from it, and it took the login from there.

Change: the connection with its numbering (connection.rs), the errors (error.rs), the registry of sessions (registry.rs) and what sessions share (shared.rs) stand beneath both; the listener above them. The session itself is a loop with one file for commands, data of writes, responses, and what is no command. No behaviour changed.

--- /dev/null
+++ b/src/front/block/listener.rs
@@ -0,0 +1,39 @@
+//! Accepts initiators and serves each connection to its end.
+
+use super::session;
+use super::shared::BlockFront;
+use crate::core::Transport;
+use crate::front::closing::{self, Why};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Pause after the system would not give a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+impl<T: Transport + 'static> BlockFront<T> {
+    /// Accepts initiators for as long as it is polled.
+    pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
+        loop {
+            let slot = self.budget.client_slot().await;
+            let stream = match self.phases.next(&listener).await {
+                Ok(stream) => stream,
+                Err(problem) => {
+                    log::warn!("block: accept: {problem}");
+                    self.budget.reclaim();
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let (front, guard) = (self.clone(), self.phases.connection());
+            tokio::task::spawn_local(async move {
+                let _held = (slot, guard);
+                let (stream, counters) = (Rc::new(stream), front.counters.clone());
+                if let Err(problem) = session::serve(front, stream.clone()).await {
+                    log::debug!("block: {problem}");
+                }
+                closing::end(&stream, Why::Done, std::future::pending(), &counters).await;
+            });
+        }
+    }
+}
--- a/src/front/block/login.rs
+++ b/src/front/block/login.rs
@@ -1,13 +1,12 @@
 //! The login phase (RFC 7143, sections 6 and 11.12): stages, keys and what they come to.
 
 use super::config::Target;
-use super::pdu::{Pdu, request, response};
-use super::session::{SessionError, Wire};
+use super::connection::Connection;
+use super::error::SessionError;
+use super::pdu::{LONGEST_SEGMENT, Pdu, request, response};
 use bytes::{BufMut, Bytes, BytesMut};
 use std::collections::BTreeMap;
 
-/// Longest data segment that the target takes.
-pub const LONGEST_SEGMENT: usize = 64 * 1024;
 /// Longest text that a login may add up to.
 const LONGEST_TEXT: usize = 16 * 1024;
 /// Most requests that a login may take.
@@ -227,7 +226,7 @@
 /// Leads a connection through its login. `open` gives the session its handle once the login is about to
 /// succeed, or `None` when there is no room for one.
 pub async fn login<H>(
-    wire: &mut Wire,
+    connection: &mut Connection,
     target: &Target,
     open: impl FnOnce(&Params) -> Option<(u16, H)>,
 ) -> Result<(Params, H), SessionError> {
@@ -235,7 +234,7 @@
     let mut login = Login { params: Params::default(), seen, stage: None, declared: false };
     let mut gathered = BytesMut::new();
     for _ in 0..MOST_REQUESTS {
-        let request = wire.read().await?;
+        let request = connection.read().await?;
         if request.opcode() != request::LOGIN {
             return Err(SessionError::Protocol("another PDU during login"));
         }
@@ -243,7 +242,7 @@
         let (transit, more) = (flags & 0x80 != 0, flags & 0x40 != 0);
         let (stage, next) = (flags >> 2 & 3, flags & 3);
         if login.stage.is_none() {
-            wire.start_numbering(&request);
+            connection.start_numbering(&request);
             login.params.isid.copy_from_slice(&request.header[8..14]);
         }
         let mut reject = None;
@@ -264,17 +263,17 @@
             reject = Some(status::INITIATOR_ERROR);
         }
         if let Some(why) = reject {
-            wire.respond(fail(&request, why)).await?;
+            connection.respond(fail(&request, why)).await?;
             return Err(SessionError::Login(why));
         }
         if more {
-            wire.respond(respond(&request, stage << 2, 0)).await?;
+            connection.respond(respond(&request, stage << 2, 0)).await?;
             continue;
         }
         let mut answers = match login.take(&gathered.split(), target) {
             Ok(answers) => answers,
             Err(why) => {
-                wire.respond(fail(&request, why)).await?;
+                connection.respond(fail(&request, why)).await?;
                 return Err(SessionError::Login(why));
             }
         };
@@ -285,18 +284,18 @@
         let keys = text(&answers);
         if !(transit && next == FULL_FEATURE) {
             let flags = if transit { 0x80 | stage << 2 | next } else { stage << 2 };
-            wire.respond(respond(&request, flags, 0).with_data(keys)).await?;
+            connection.respond(respond(&request, flags, 0).with_data(keys)).await?;
             login.stage = Some(if transit { next } else { stage });
             continue;
         }
         login.params.first_burst = login.params.first_burst.min(login.params.max_burst);
         let Some((tsih, handle)) = open(&login.params) else {
-            wire.respond(fail(&request, status::OUT_OF_RESOURCES)).await?;
+            connection.respond(fail(&request, status::OUT_OF_RESOURCES)).await?;
             return Err(SessionError::Login(status::OUT_OF_RESOURCES));
         };
         let flags = 0x80 | stage << 2 | FULL_FEATURE;
-        wire.respond(respond(&request, flags, tsih).with_data(keys)).await?;
-        wire.digests(login.params.header_digest, login.params.data_digest);
+        connection.respond(respond(&request, flags, tsih).with_data(keys)).await?;
+        connection.set_digests(login.params.header_digest, login.params.data_digest);
         return Ok((login.params, handle));
     }
     Err(SessionError::Protocol("a login without an end"))
--- a/src/front/block/pdu.rs
+++ b/src/front/block/pdu.rs
@@ -5,6 +5,8 @@
 
 /// Bytes of a basic header segment.
 pub const BHS: usize = 48;
+/// Longest data segment that the target takes.
+pub const LONGEST_SEGMENT: usize = 64 * 1024;
 /// The tag that stands for none.
 pub const NO_TAG: u32 = u32::MAX;
 
