A directory tells an observer when a list is in force

Cause: what measures a fleet has to know when module and transport of a head have been told of a version. Change: Directory::observe, called with the newest version after each list that was taken in.

--- a/src/discovery/directory.rs
+++ b/src/discovery/directory.rs
@@ -23,6 +23,9 @@
 /// Of the parts of one list that can't be read, so many are logged.
 const LOGGED: usize = 8;
 
+/// Told the newest version each time that module and transport have been told of a list.
+type Observer = Box<dyn Fn(u64)>;
+
 /// Keeps the module's list and the transport's places in step with discovery and with the operators' bans.
 pub struct Directory {
     dispatcher: Rc<Dispatcher>,
@@ -39,6 +42,7 @@
     last_message: Cell<Instant>,
     /// How many relays speak; none where the head follows no relays.
     relays_reachable: Cell<Option<usize>>,
+    observer: RefCell<Option<Observer>>,
 }
 
 impl Directory {
@@ -65,9 +69,21 @@
             changed,
             last_message,
             relays_reachable: Cell::new(None),
+            observer: RefCell::default(),
         })
     }
 
+    /// Has an observer told the newest version whenever a list is in force: module and transport know of it.
+    pub fn observe(&self, observer: impl Fn(u64) + 'static) {
+        self.observer.replace(Some(Box::new(observer)));
+    }
+
+    fn in_force(&self) {
+        if let Some(observer) = &*self.observer.borrow() {
+            observer(self.membership.borrow().version());
+        }
+    }
+
     /// Waits until discovery itself has given a list.
     pub async fn heard(&self) {
         // The sender lives in `self`, so the wait can't fail.
@@ -148,7 +164,7 @@
         let first = kind == ListKind::Cached || !*self.heard.borrow();
         if list.is_empty() && list.unread.is_empty() && !list.all && !first {
             self.membership.borrow_mut().apply(&list, source, now);
-            return;
+            return self.in_force();
         }
         self.counters.list_changes.add();
         self.changed.set(Instant::now());
@@ -158,6 +174,7 @@
         if first || !nodes.is_empty() {
             self.dispatcher.tell(&[Event::Nodes { kind, nodes }]);
         }
+        self.in_force();
         self.heard.send_if_modified(|heard| kind != ListKind::Cached && !std::mem::replace(heard, true));
     }
 
