--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod load;
 pub mod measure;
 pub mod node;
+pub mod scale;
 pub mod sim;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,8 @@
 use flaxgap_lab::fleet::{Fleet, Size};
 use flaxgap_lab::guard;
 use flaxgap_lab::levels::{self, Plan, Row};
+use flaxgap_lab::scale;
+use flaxgap_lab::scale::args::{RoleArgs, ScaleArgs};
 use flaxgap_levels::Settings as Levels;
 use std::process::ExitCode;
 use std::time::Instant;
@@ -23,6 +25,11 @@
     Levels(LevelsArgs),
     /// Plays heads of a large fleet before one node that just started.
     Guard(guard::table::Args),
+    /// Shows what control costs a fleet of a given size, with real code and stand-ins on this machine.
+    Scale(ScaleArgs),
+    /// A child of `scale`, started by it.
+    #[command(hide = true)]
+    ScaleChild(RoleArgs),
 }
 
 #[derive(clap::Args)]
@@ -51,11 +58,13 @@
 }
 
 fn main() -> ExitCode {
-    let result = match Args::parse().command {
+    let ended = match Args::parse().command {
         Command::Levels(args) => run(&args),
         Command::Guard(args) => guard::table::run(&args),
+        Command::Scale(args) => scale::main(&args).map_err(|problem| problem.to_string()),
+        Command::ScaleChild(args) => scale::child(&args).map_err(|problem| problem.to_string()),
     };
-    match result {
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("flaxgap-lab: {problem}");
--- /dev/null
+++ b/crates/lab/src/scale/hollow.rs
@@ -0,0 +1,122 @@
+//! A hollow head: the real code for control, put together as the daemon does it, without fronts and clients.
+
+use super::ScaleError;
+use super::message::{ListState, Traffic};
+use flaxgap::api::{ListKind, Settings};
+use flaxgap::bans::Bans;
+use flaxgap::config::WireNotes;
+use flaxgap::core::{Clock, Dispatcher, seconds};
+use flaxgap::counters::Counters;
+use flaxgap::descriptors::Budget;
+use flaxgap::discovery::Directory;
+use flaxgap::discovery::schedule::PollSchedule;
+use flaxgap::memory::Memory;
+use flaxgap::node::Nodes;
+use flaxgap_membership::Source;
+use flaxgap_membership::wire::List;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// What a real head's configuration would hold; a hollow one opens no connection but to discovery.
+const SOCKETS: usize = 1024;
+const MEMORY_MB: usize = 128;
+
+/// What all hollow heads of a process share.
+pub struct Plan {
+    /// What the module is told.
+    pub settings: Settings,
+    /// What the wires need of the settings.
+    pub notes: WireNotes,
+    /// The run's seed.
+    pub seed: u64,
+    /// Where each region's heads ask for the list.
+    pub discovery: Vec<SocketAddr>,
+}
+
+/// A head that runs until it is dropped.
+pub struct HollowHead {
+    directory: Rc<Directory>,
+    counters: Rc<Counters>,
+    _discovery: watch::Sender<SocketAddr>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for HollowHead {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl HollowHead {
+    /// Starts the head of a number, which asks at an address; `heard` is called with the newest version whenever a list
+    /// is in force. With a `known` list it starts as a real head does with that of an earlier life.
+    pub fn start(
+        plan: &Plan,
+        number: u32,
+        address: SocketAddr,
+        known: Option<List>,
+        heard: impl Fn(u64) + 'static,
+    ) -> Result<HollowHead, ScaleError> {
+        let (settings, notes) = (&plan.settings, &plan.notes);
+        // Each head draws its own pauses, as real heads do with seeds of their own.
+        let seed = (plan.seed << 32 | u64::from(number)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let counters = Counters::new(&notes.class_names);
+        let dispatcher = Dispatcher::new(settings.clone(), seed, Clock::start(), counters.clone())
+            .map_err(|problem| ScaleError::Settings(problem.to_string()))?;
+        let budget = Budget::new(SOCKETS, counters.clone());
+        let memory = Memory::new(MEMORY_MB);
+        let (connect_timeout, conn_idle) = (notes.connect_timeout, notes.conn_idle);
+        let nodes = Nodes::new(budget, memory, counters.clone(), connect_timeout, conn_idle, settings.hosts);
+        let directory = Directory::new(
+            dispatcher.clone(),
+            nodes.clone(),
+            counters.clone(),
+            Rc::new(Bans::load(None, "")),
+            notes.zone_names.clone(),
+            PollSchedule::new(settings.hosts, seed, settings.ask_every.is_some(), seconds(notes.drain_grace)),
+        );
+        let knows = known.is_some();
+        if let Some(list) = known {
+            directory.apply(list, &mut Source::default(), ListKind::Cached);
+        }
+        directory.observe(heard);
+        let (discovery, source) = watch::channel(address);
+        let follower = directory.clone();
+        let tasks = vec![
+            spawn_local(async move { dispatcher.keep_time().await }),
+            spawn_local(async move { nodes.sweep().await }),
+            spawn_local(async move { follower.follow(source, knows).await }),
+        ];
+        Ok(HollowHead { directory, counters, _discovery: discovery, tasks })
+    }
+
+    /// What it has received and sent for control, if this revision counts it.
+    pub fn traffic(&self) -> Option<Traffic> {
+        traffic(self.counters.pairs().into_iter())
+    }
+
+    /// Its list, as of a version.
+    pub fn list(&self, version: u64) -> ListState {
+        let gauges = self.directory.gauges();
+        let gauge = |wanted| gauges.iter().find(|(name, _)| *name == wanted).map_or(0, |(_, value)| *value);
+        ListState { version, known: gauge("bricks_known"), excluded: gauge("bricks_excluded") }
+    }
+}
+
+/// Reads what a head counts of control out of its counters.
+pub fn traffic<'a>(counters: impl Iterator<Item = (&'a str, u64)>) -> Option<Traffic> {
+    let (mut traffic, mut counted) = (Traffic::default(), false);
+    for (name, value) in counters {
+        let field = match name {
+            "discovery_bytes_received" => &mut traffic.received,
+            "discovery_bytes_sent" => &mut traffic.sent,
+            "discovery_messages" => &mut traffic.messages,
+            "discovery_calls" => &mut traffic.calls,
+            _ => continue,
+        };
+        (*field, counted) = (value, true);
+    }
+    counted.then_some(traffic)
+}
--- /dev/null
+++ b/crates/lab/src/scale/run.rs
@@ -0,0 +1,80 @@
+//! One run from its start to its last line, and the command that plays it.
+
+use super::ScaleError;
+use super::args::ScaleArgs;
+use super::events::{Outcome, Player, Waits};
+use super::fleet::Fleet;
+use super::limits;
+use super::report::{Costs, Run, names};
+use super::storage::SERVING_NODES;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{Instant, sleep};
+
+/// Plays what the command line says, and prints it.
+pub async fn command(args: &ScaleArgs) -> Result<(), ScaleError> {
+    let run = play(args, Waits::new(args.quick), true).await?;
+    println!(
+        "{} heads, {} of them real, {} nodes, {} relays, seed {}; {:.1} s",
+        args.heads, args.real, args.nodes, args.relays, args.seed, run.took
+    );
+    if args.real == 0 {
+        println!("no real heads: hollow figures stand alone");
+    } else {
+        let (served, failed) = run.requests;
+        println!(
+            "real heads served {served} requests from {SERVING_NODES} stand-in nodes, {failed} they did not"
+        );
+    }
+    println!("\n{}\n\n{}\n", run.costs(), run.events());
+    println!("{}", serde_json::to_string(&run.summary())?);
+    Ok(())
+}
+
+/// Plays one size, with or without the larger events.
+pub async fn play(args: &ScaleArgs, waits: Waits, all_events: bool) -> Result<Run, ScaleError> {
+    let began = Instant::now();
+    limits::check(args).await?;
+    let mut fleet = Fleet::start(args, waits).await?;
+    fleet.says("settling");
+    sleep(waits.settle).await;
+
+    fleet.says("at rest");
+    let before = fleet.sample().await?;
+    sleep(waits.idle).await;
+    let after = fleet.sample().await?;
+    let idle = Costs::between(&before, &after);
+    let (exchanged, seconds) = (idle.control.kb_s() * 1e3, 1.0);
+    let machines = after.control().len() as f64;
+
+    fleet.real.iter_mut().for_each(|head| head.serve_client());
+    let random = ChaCha8Rng::seed_from_u64(args.seed);
+    let idle_bytes = exchanged * machines / seconds;
+    let mut player = Player { fleet: &mut fleet, random, idle_bytes, version: 1, outcomes: Vec::new() };
+    if all_events {
+        player.play().await?;
+    }
+    let before = player.fleet.sample().await?;
+    player.ordinary_day().await?;
+    let after = player.fleet.sample().await?;
+    let day = Costs::between(&before, &after);
+    let (version, mut outcomes) = (player.version, player.outcomes);
+    outcomes.push(Outcome::carried_by_nothing(names::CONFIGURATION));
+    let astray = fleet.astray(version).await?;
+    let requests = fleet.real.iter_mut().map(|head| head.end_client());
+    let requests = requests.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
+    fleet.end().await?;
+    Ok(Run {
+        heads: args.heads,
+        nodes: args.nodes,
+        control_machines: args.relays.max(1),
+        seed: args.seed,
+        idle,
+        day,
+        day_factor: waits.day_factor(),
+        outcomes,
+        astray,
+        requests,
+        took: began.elapsed().as_secs_f64(),
+    })
+}
