--- a/crates/lab/src/scale/message.rs
+++ b/crates/lab/src/scale/message.rs
@@ -1,6 +1,7 @@
 //! What the tool and its children tell each other: one JSON object a line, over the children's pipes.
 
 use super::nodes::NodeRecord;
+use super::relays::RelayPlace;
 use super::usage::Usage;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -34,6 +35,8 @@
         seed: u64,
         /// Where each region's heads ask for the list.
         discovery: Vec<SocketAddr>,
+        /// The relays that heads follow in its place; none where there are none.
+        relays: Vec<RelayPlace>,
     },
     /// These heads start.
     Start {
@@ -193,6 +196,20 @@
     pub open: u64,
 }
 
+impl Served {
+    /// Both together; what is open is the later one's.
+    pub fn plus(self, later: Served) -> Served {
+        Served {
+            received: self.received + later.received,
+            sent: self.sent + later.sent,
+            messages: self.messages + later.messages,
+            calls: self.calls + later.calls,
+            whole_lists: self.whole_lists + later.whole_lists,
+            open: later.open,
+        }
+    }
+}
+
 /// What the stand-in for discovery says.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum DiscoveryReply {
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -18,6 +18,7 @@
 pub mod message;
 pub mod nodes;
 pub mod real;
+pub mod relays;
 pub mod report;
 pub mod run;
 pub mod settings;
