--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -17,7 +17,7 @@
 use flaxgap::memory::Memory;
 use flaxgap::node::Nodes;
 use flaxgap_membership::Source;
-use flaxgap_membership::wire::List;
+use flaxgap_membership::compact::CompactList;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -61,7 +61,7 @@
     pub fn start(
         plan: &Plan,
         number: u32,
-        known: Option<List>,
+        known: Option<CompactList>,
         heard: impl Fn(u64) + 'static,
     ) -> Result<HollowHead, ScaleError> {
         let (settings, notes) = (&plan.settings, &plan.notes);
--- a/crates/lab/src/scale/limits.rs
+++ b/crates/lab/src/scale/limits.rs
@@ -6,7 +6,7 @@
 use super::nodes::NodeTable;
 use super::settings;
 use super::usage::Usage;
-use flaxgap_membership::wire::List;
+use flaxgap_membership::compact::CompactList;
 use rustix::process::{Resource, getrlimit};
 use thiserror::Error;
 
@@ -138,7 +138,8 @@
     let plan = Plan { settings, notes, seed: args.seed, discovery: vec![nowhere], relays: Vec::new() };
     let table = NodeTable::new(args.nodes, &[]);
     let document = serde_json::json!({"rev": 1, "all": true, "targets": table.nodes()});
-    let list = List::from_value(document).map_err(|problem| ScaleError::Settings(problem.to_string()))?;
+    let list = CompactList::parse(document.to_string().as_bytes())
+        .map_err(|problem| ScaleError::Settings(problem.to_string()))?;
     // The first one pays for what all share.
     let first = HollowHead::start(&plan, 0, Some(list.clone()), |_| {})?;
     let before = Usage::own()?.memory;
--- a/crates/lab/src/scale/worker.rs
+++ b/crates/lab/src/scale/worker.rs
@@ -5,7 +5,7 @@
 use super::message::*;
 use super::usage::Usage;
 use super::{ScaleError, http, settings};
-use flaxgap_membership::wire::List;
+use flaxgap_membership::compact::CompactList;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -104,7 +104,7 @@
     /// What heads that have ended had received and sent.
     ended: Cell<Traffic>,
     /// The list that heads with a known list start with: as it was at this process's first start.
-    known: RefCell<Option<List>>,
+    known: RefCell<Option<CompactList>>,
 }
 
 /// Runs until the input ends.
@@ -192,12 +192,12 @@
     }
 
     /// The list of the heads' earlier life: read once, so that what a later start has missed is asked for.
-    async fn known_list(&self) -> Result<List, ScaleError> {
+    async fn known_list(&self) -> Result<CompactList, ScaleError> {
         if let Some(list) = &*self.known.borrow() {
             return Ok(list.clone());
         }
         let text = http::get(self.plan.discovery[0], "/api/targets").await?;
-        let list = List::parse(&text).map_err(|problem| ScaleError::Settings(problem.to_string()))?;
+        let list = CompactList::parse(&text).map_err(|problem| ScaleError::Settings(problem.to_string()))?;
         self.known.replace(Some(list.clone()));
         Ok(list)
     }
