--- a/tests/standing_terms_close.rs
+++ b/tests/standing_terms_close.rs
@@ -317,8 +317,8 @@
         closes.percentile(0.99),
         closes.percentile(1.0),
     );
-    assert!(closes.count() >= CLOSES && closes.crossed(), "{}: too few closes at the crossing", case.what);
     assert_eq!(late, 0, "{}: attempts that began over {LATEST:?} after the close", case.what);
+    assert!(closes.count() >= CLOSES && closes.crossed(), "{}: too few closes at the crossing", case.what);
 }
 
 /// Clients that wait for a node, which comes as they close.
