A hand-over logs when the newer process is in service, and a test waits for it

Change: the older process logs the moment at which it stops accepting, and the test waits for that line before it connects; what it asserts is as before.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -189,6 +189,12 @@
             self.shared.memory.set_part(after.part());
         }
         if before.yielded != after.yielded {
+            let accepting = if after.yielded {
+                "is in service, this one accepts no more"
+            } else {
+                "is gone, this one accepts again"
+            };
+            log::info!("handover: the newer process {accepting}");
             self.shared.phases.accept(!after.yielded);
         }
     }
--- a/tests/stories_block.rs
+++ b/tests/stories_block.rs
@@ -222,6 +222,8 @@
     assert!(shown.contains("class=\"play-fetch\",outcome=\"refused\"} 1\n"), "{shown}");
     let new = Head::start(&discovery, Some(BLOCK), &[("TMPDIR", old.folder.to_str().expect("a path"))]);
     assert_eq!(new.block, Some(block), "one socket");
+    // Until it has heard that the newer process is ready, the older one accepts, too.
+    wait(|| old.logged("handover: the newer process is in service"));
     old.signal("-TERM");
     let mut next = Initiator::login(block, "");
     next.write(1, 0, 1, &[1; 512]);
