--- a/examples/fronts.rs
+++ b/examples/fronts.rs
@@ -40,12 +40,24 @@
     /// Idle streams whose memory is measured at the end.
     #[arg(long, default_value_t = 10_000)]
     idle: usize,
+    /// Stand-in nodes.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=256))]
+    nodes: u32,
+    /// Measures a head with so many connections of HTTP/1.1 instead, one run for each number.
+    #[arg(long, value_delimiter = ',')]
+    http1: Vec<usize>,
+    /// Requests a second on each of those connections in the paced stretch.
+    #[arg(long, default_value_t = 1.0)]
+    each: f64,
+    /// Milliseconds that a node takes for an answer.
+    #[arg(long, default_value_t = 0)]
+    node_ms: u64,
     /// Runs the head itself, with the configuration out of the environment.
     #[arg(long, hide = true)]
     as_head: bool,
 }
 
-const NODES: u32 = 4;
+static NODES: AtomicU64 = AtomicU64::new(4);
 /// A node holds its answer to a request whose path ends so.
 const HUSH: &str = "?hush";
 
@@ -65,6 +77,7 @@
         return head();
     }
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+    NODES.store(args.nodes.into(), Ordering::Relaxed);
     runtime.block_on(compare(&args))
 }
 
@@ -149,6 +162,11 @@
         Ok((of(11).ok_or("utime")? + of(12).ok_or("stime")?) / 100.0)
     }
 
+    /// Descriptors that it holds.
+    fn descriptors(&self) -> Result<usize, Failure> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     /// Bytes that it holds, its program's text apart.
     fn memory(&self) -> Result<f64, Failure> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
@@ -201,7 +219,7 @@
 }
 
 /// A node that answers at once, or, to a hushed request, once it is told to.
-async fn node(listener: TcpListener, speak: Arc<Notify>) {
+async fn node(listener: TcpListener, speak: Arc<Notify>, takes: Duration) {
     while let Ok((stream, _)) = listener.accept().await {
         let speak = speak.clone();
         let _ = stream.set_nodelay(true);
@@ -211,6 +229,9 @@
                 if head.lines().next().is_some_and(|line| line.contains(HUSH)) {
                     speak.notified().await;
                 }
+                if !takes.is_zero() {
+                    sleep(takes).await;
+                }
                 if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npiece").await.is_err() {
                     return;
                 }
@@ -225,7 +246,7 @@
 fn next(hush: bool) -> (u64, String, u64) {
     let id = IDS.fetch_add(1, Ordering::Relaxed);
     let tail = if hush { HUSH } else { "" };
-    (id, format!("/play-fetch/{:016x}/{:016x}{tail}", 1 + id % 50, id), id % u64::from(NODES))
+    (id, format!("/play-fetch/{:016x}/{:016x}{tail}", 1 + id % 50, id), id % NODES.load(Ordering::Relaxed))
 }
 
 /// A connection of HTTP/1.1.
@@ -430,13 +451,196 @@
     Ok(bytes)
 }
 
+/// What a head with so many connections of HTTP/1.1 takes.
+#[derive(serde::Serialize)]
+struct ByConnections {
+    connections: usize,
+    /// Of the head, for each connection that rests between two requests; with it, its share of those to nodes.
+    resting_bytes: f64,
+    /// Of the head, for each request in hand, its connections to clients and nodes included.
+    pending_bytes: f64,
+    /// Descriptors of the head while each connection rests, under paced load, and with all in hand.
+    resting_descriptors: usize,
+    paced_descriptors: usize,
+    /// Under paced load: requests a second, the part of a core that the head takes, latencies in ms.
+    paced_per_second: f64,
+    paced_core: f64,
+    paced_p50_ms: f64,
+    paced_p99_ms: f64,
+    paced_failed: u64,
+    /// With each connection's next request sent as soon as the one before is answered.
+    full_per_second: f64,
+    full_per_core: f64,
+    full_failed: u64,
+}
+
+/// Measures a head of its own for each number of connections.
+async fn by_connections(
+    args: &Args,
+    folder: &Path,
+    discovery: SocketAddr,
+    speak: &Notify,
+) -> Result<(), Failure> {
+    let mut rows = Vec::new();
+    for connections in &args.http1 {
+        let head = Head::start(folder, discovery).await?;
+        let pending_bytes = held(&head, speak, *connections, None).await?;
+        drop(head);
+        let head = Head::start(folder, discovery).await?;
+        let row = one_size(args, &head, *connections, pending_bytes).await?;
+        println!(
+            "{:5} connections: {:6.0} bytes resting, {:6.0} pending; paced {:6.0} a second take {:.3} of a core, \
+             p50 {:.2} ms, p99 {:.2} ms, {} failed, {} descriptors; full {:6.0} for each second of a core, {} failed",
+            row.connections,
+            row.resting_bytes,
+            row.pending_bytes,
+            row.paced_per_second,
+            row.paced_core,
+            row.paced_p50_ms,
+            row.paced_p99_ms,
+            row.paced_failed,
+            row.paced_descriptors,
+            row.full_per_core,
+            row.full_failed
+        );
+        rows.push(row);
+    }
+    println!(
+        "{}",
+        serde_json::json!({ "seconds": args.seconds, "nodes": args.nodes, "node_ms": args.node_ms, "rows": rows })
+    );
+    Ok(())
+}
+
+async fn one_size(
+    args: &Args,
+    head: &Head,
+    connections: usize,
+    pending_bytes: f64,
+) -> Result<ByConnections, Failure> {
+    let length = Duration::from_secs(args.seconds);
+    let warm = Side::One(Arc::default(), head.http1);
+    for turn in 0..200 {
+        warm.ask(turn).await?;
+    }
+    let (memory, descriptors) = (head.memory()?, head.descriptors()?);
+    let clients = connect_all(head.http1, connections).await?;
+    let resting_descriptors = head.descriptors()?.saturating_sub(descriptors);
+    let resting_bytes = (head.memory()? - memory).max(0.0) / resting_descriptors.max(1) as f64;
+    let paced = paced(head, clients, args.each, length).await?;
+    let side = Side::One(Arc::new(Mutex::new(paced.clients)), head.http1);
+    let full = full(head, &side, connections, length).await?;
+    Ok(ByConnections {
+        connections,
+        resting_bytes,
+        pending_bytes,
+        resting_descriptors,
+        paced_descriptors: paced.descriptors,
+        paced_per_second: paced.per_second,
+        paced_core: paced.core,
+        paced_p50_ms: paced.latencies.value_at_quantile(0.5) as f64 / 1000.0,
+        paced_p99_ms: paced.latencies.value_at_quantile(0.99) as f64 / 1000.0,
+        paced_failed: paced.failed,
+        full_per_second: full.per_second,
+        full_per_core: full.per_core,
+        full_failed: full.failed,
+    })
+}
+
+/// Connections that have had one answer each. They are opened together, since a head keeps one that rests for two
+/// seconds only.
+async fn connect_all(address: SocketAddr, count: usize) -> Result<Vec<Http1>, Failure> {
+    let mut all = JoinSet::new();
+    for _ in 0..count {
+        all.spawn(async move {
+            let mut client = Http1::connect(address).await?;
+            client.ask(&Http1::request(false)).await?;
+            Ok::<Http1, Failure>(client)
+        });
+    }
+    let mut clients = Vec::new();
+    while let Some(client) = all.join_next().await {
+        clients.push(client??);
+    }
+    Ok(clients)
+}
+
+/// What paced load took, and the connections that it went over.
+struct Paced {
+    clients: Vec<Http1>,
+    per_second: f64,
+    core: f64,
+    latencies: Histogram<u64>,
+    descriptors: usize,
+    failed: u64,
+}
+
+/// One connection's requests in a paced stretch.
+struct PacedClient {
+    client: Http1,
+    latencies: Vec<Duration>,
+    failed: u64,
+}
+
+/// The same rate of requests on each connection, at evenly spread moments; latencies from when each was due.
+async fn paced(head: &Head, clients: Vec<Http1>, each: f64, length: Duration) -> Result<Paced, Failure> {
+    let (count, address) = (clients.len(), head.http1);
+    let (cpu, begun) = (head.cpu()?, Instant::now());
+    let mut all = JoinSet::new();
+    for (place, client) in clients.into_iter().enumerate() {
+        let first = begun + Duration::from_secs_f64(place as f64 / count as f64 / each);
+        all.spawn(paced_client(client, address, first, each, begun + length));
+    }
+    sleep(length / 2).await;
+    let descriptors = head.descriptors()?;
+    let (mut clients, mut latencies, mut failed) = (Vec::new(), Histogram::new(3)?, 0);
+    while let Some(done) = all.join_next().await {
+        let done = done?;
+        for latency in done.latencies {
+            latencies.record(latency.as_micros() as u64)?;
+        }
+        failed += done.failed;
+        clients.push(done.client);
+    }
+    let (seconds, cpu) = (begun.elapsed().as_secs_f64(), head.cpu()? - cpu);
+    let per_second = latencies.len() as f64 / seconds;
+    Ok(Paced { clients, per_second, core: cpu / seconds, latencies, descriptors, failed })
+}
+
+async fn paced_client(
+    mut client: Http1,
+    address: SocketAddr,
+    first: Instant,
+    each: f64,
+    end: Instant,
+) -> PacedClient {
+    let (mut latencies, mut failed, mut due) = (Vec::new(), 0, first);
+    while due < end {
+        sleep_until(due).await;
+        let mut asked = client.ask(&Http1::request(false)).await;
+        // One that the head has closed between two requests: the request goes out once more, on a new connection.
+        if asked.is_err()
+            && let Ok(fresh) = Http1::connect(address).await
+        {
+            client = fresh;
+            asked = client.ask(&Http1::request(false)).await;
+        }
+        match asked {
+            Ok(200) => latencies.push(due.elapsed()),
+            _ => failed += 1,
+        }
+        due += Duration::from_secs_f64(1.0 / each);
+    }
+    PacedClient { client, latencies, failed }
+}
+
 async fn compare(args: &Args) -> Result<(), Failure> {
     let speak = Arc::new(Notify::new());
     let mut nodes = Vec::new();
-    for _ in 0..NODES {
+    for _ in 0..args.nodes {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         nodes.push(listener.local_addr()?);
-        tokio::spawn(node(listener, speak.clone()));
+        tokio::spawn(node(listener, speak.clone(), Duration::from_millis(args.node_ms)));
     }
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
@@ -444,6 +648,11 @@
     let folder = std::env::temp_dir().join(format!("flaxgap-fronts-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     let length = Duration::from_secs(args.seconds);
+    if !args.http1.is_empty() {
+        let measured = by_connections(args, &folder, address, &speak).await;
+        let _ = std::fs::remove_dir_all(folder);
+        return measured;
+    }
 
     // Memory first, each in a head of its own: what was freed is seldom given back to the system.
     println!("bytes of the head for a request in hand");
