Test that node numbers are unique and that an unreadable entry keeps its node

Two faults put in by hand were not found before: a number given twice, and a whole list that lacks what it names by an entry that can't be read.

--- a/crates/membership/tests/compact.rs
+++ b/crates/membership/tests/compact.rs
@@ -6,6 +6,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::HashSet;
 
 const NODES: usize = 7100;
 
@@ -161,7 +162,8 @@
     assert_eq!((membership.node("s-00000005"), membership.knows("s-00000005")), (None, true));
     membership.apply(&list(3, false, vec![entry(5, State::Ready)]), &mut source, 3.0);
     let back = membership.node("s-00000005").expect("listed").id;
-    assert!(back != before && membership.nodes().filter(|node| node.id == back).count() == 1);
+    let numbers: HashSet<u32> = membership.nodes().map(|node| node.id).collect();
+    assert!(back != before && numbers.len() == NODES && !numbers.contains(&before));
 }
 
 /// Histories from seeds in which some 2,000 of 7,100 nodes are replaced by others at each of ten versions, told by
@@ -225,3 +227,16 @@
     let known: Vec<bool> = (0..8).map(known).collect();
     assert_eq!(known, [false, false, false, true, true, true, true, true]);
 }
+
+/// A whole list that names a node by an entry that can't be read does not lack it: what is known of it stands.
+#[test]
+fn a_node_whose_entry_cant_be_read_does_not_depart() {
+    let (mut membership, mut source) = full();
+    let broken = r#"{"uid":"s-00000005","endpoint":"nowhere","state":"ready"}"#;
+    let good = r#"{"uid":"s-00000006","endpoint":"127.0.0.6:80","az":"z0","pod_group":6,"state":"ready"}"#;
+    let text = format!(r#"{{"rev":2,"all":true,"targets":[{broken},{good}]}}"#);
+    let whole = CompactList::parse(text.as_bytes()).expect("a list");
+    membership.apply(&whole, &mut source, 2.0);
+    assert_eq!((membership.len(), membership.ready()), (2, 2));
+    assert_eq!(membership.node("s-00000005").and_then(|node| node.address), entry(5, State::Ready).address);
+}
