Test that a standing watch is never dropped, nor a dropped renewal proof in doubt

Two faults put in by hand were not found before: an early drop after a heartbeat, and one that counts although its version came into doubt meanwhile.

--- a/src/discovery/client/tests/whole_lists.rs
+++ b/src/discovery/client/tests/whole_lists.rs
@@ -300,3 +300,41 @@
         assert_eq!((lists, agent.calls.get()), (vec![1, 2], 2));
     });
 }
+
+/// Given a watch that stands by its heartbeat, when it goes on with a list of the known version, then it is read on: what
+/// is dropped could deliver nothing later.
+#[test]
+fn a_watch_that_stands_is_never_dropped() {
+    in_virtual_time(|| async {
+        let agent = Scripted::new(|number| match number {
+            0 => vec![Write(text(1, "ready")), Hold],
+            1 => {
+                let (first, rest) = (text(1, "ready")[..100].into(), text(1, "ready")[100..].into());
+                let pause = Pause(Duration::from_millis(10));
+                let news = Write(text(2, "draining"));
+                vec![Write("\n".into()), pause.clone(), Write(first), pause, Write(rest), news, Hold]
+            }
+            _ => vec![Hold],
+        });
+        let schedule = PollSchedule::new(1, 1, false, GRACE);
+        let mut subscription = Subscription::new(agent.clone(), ([127, 0, 0, 1], 1).into(), &schedule);
+        let calls = agent.calls.clone();
+        let lists = lists_until(&mut subscription, || calls.get() >= 6).await;
+        assert_eq!(lists, [(1, State::Ready), (2, State::Draining)]);
+    });
+}
+
+/// Given a renewal that was dropped, when its version came into doubt before that is applied, then it proves nothing.
+#[test]
+fn a_dropped_renewal_whose_version_is_in_doubt_proves_nothing() {
+    in_virtual_time(|| async {
+        let agent = Scripted::new(|_| vec![Hold]);
+        let schedule = PollSchedule::new(1, 1, false, GRACE);
+        let mut subscription = Subscription::new(agent, ([127, 0, 0, 1], 1).into(), &schedule);
+        for (droppable, proves) in [(Some(7), true), (Some(8), false), (None, false)] {
+            subscription.droppable.set(droppable);
+            let update = subscription.on_message(1, CallMessage::KnownVersion(7));
+            assert_eq!(update.is_some(), proves, "{droppable:?}");
+        }
+    });
+}
