--- a/crates/attempts/src/lib.rs
+++ b/crates/attempts/src/lib.rs
@@ -57,7 +57,7 @@
     /// The zone of that node.
     pub zone: ZoneId,
     /// Which of the nodes that followed each other at the shard that was.
-    pub epoch: u64,
+    pub epoch: u32,
     /// When it was sent.
     pub at: f64,
     /// How it ended; `None` while it is out.
--- a/crates/shard-table/src/lib.rs
+++ b/crates/shard-table/src/lib.rs
@@ -12,7 +12,7 @@
 pub use list::{ListKind, NodeId, NodeInfo, NodeState, ShardId, ZoneId};
 use smallvec::SmallVec;
 use sorted::SortedKeys;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// The node that serves a shard.
 #[derive(Clone, Debug, Default)]
@@ -20,7 +20,7 @@
     /// The node; `None` while no listed one is chosen.
     pub node: Option<NodeInfo>,
     /// How often another node, or the same one after a start, took over.
-    pub epoch: u64,
+    pub epoch: u32,
     /// When the last of these changes was heard of.
     pub since: f64,
     /// When the shard was first heard of.
@@ -32,35 +32,49 @@
     pub fn zone(&self) -> Option<ZoneId> {
         self.node.as_ref().map(|node| node.zone)
     }
-
-    /// Makes `node` the one that serves, and counts another node or another start of it.
-    fn replace(&mut self, node: Option<&NodeInfo>, now: f64) {
-        let start = |info: &NodeInfo| (info.node, info.since);
-        if self.node.as_ref().map(start) != node.map(start) {
-            self.epoch += 1;
-            self.since = now;
-        }
-        self.node = node.cloned();
-    }
 }
 
-/// One shard: its nodes on the list in the order of their ids, the one that serves it, and its lane.
+/// One start of a node: the node and when it started.
+type Start = (NodeId, f64);
+
+/// One shard: its nodes on the list in the order of their ids, which of them serves, and its lane. Most shards of a
+/// large fleet are never used by a head, so it is kept small.
 #[derive(Debug)]
 pub struct Shard<L> {
     nodes: SmallVec<[NodeInfo; 1]>,
-    server: Server,
+    serving: Option<u16>,
+    epoch: u32,
+    since: f64,
+    known: f64,
     lane: Option<Box<L>>,
 }
 
 impl<L> Shard<L> {
     fn new(now: f64) -> Shard<L> {
-        let server = Server { since: now, shard_known: now, ..Server::default() };
-        Shard { nodes: SmallVec::new(), server, lane: None }
+        Shard { nodes: SmallVec::new(), serving: None, epoch: 0, since: now, known: now, lane: None }
     }
 
     /// The node that serves it.
-    pub fn server(&self) -> &Server {
-        &self.server
+    pub fn server(&self) -> Server {
+        Server { node: self.node().cloned(), epoch: self.epoch, since: self.since, shard_known: self.known }
+    }
+
+    fn node(&self) -> Option<&NodeInfo> {
+        self.nodes.get(usize::from(self.serving?))
+    }
+
+    fn start(&self) -> Option<Start> {
+        self.node().map(|node| (node.node, node.since))
+    }
+
+    /// Makes `node`, one of its nodes, the one that serves, and counts another node or start than `before`.
+    fn serve(&mut self, node: Option<NodeId>, before: Option<Start>, now: f64) {
+        let place = node.and_then(|node| self.nodes.iter().position(|info| info.node == node));
+        self.serving = place.and_then(|place| u16::try_from(place).ok());
+        if self.start() != before {
+            self.epoch += 1;
+            self.since = now;
+        }
     }
 
     /// What the head keeps of it, if it was used.
@@ -80,31 +94,32 @@
     }
 }
 
-/// A known shard's place in the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Place {
+/// A shard that news of the list touched: its row, and the start of a node that served it before.
+struct Touched {
     shard: ShardId,
     row: u32,
+    before: Option<Start>,
 }
 
 /// All shards ever heard of, in the order of their ids.
 #[derive(Debug)]
 pub struct ShardTable<L> {
-    rows: BTreeMap<ShardId, u32>,
+    /// Where each known shard is, in the order of their ids.
+    rows: Vec<(ShardId, u32)>,
     shards: Vec<Shard<L>>,
     open: SortedKeys<ShardId>,
 }
 
 impl<L> Default for ShardTable<L> {
     fn default() -> ShardTable<L> {
-        ShardTable { rows: BTreeMap::new(), shards: Vec::new(), open: SortedKeys::default() }
+        ShardTable { rows: Vec::new(), shards: Vec::new(), open: SortedKeys::default() }
     }
 }
 
 impl<L> ShardTable<L> {
     /// A shard, if it was heard of.
     pub fn get(&self, shard: ShardId) -> Option<&Shard<L>> {
-        self.rows.get(&shard).map(|row| &self.shards[*row as usize])
+        self.row(shard).map(|row| &self.shards[row as usize])
     }
 
     /// The lane of a shard that was used.
@@ -114,15 +129,16 @@
 
     /// The same, to change it.
     pub fn lane_mut(&mut self, shard: ShardId) -> Option<&mut L> {
-        let row = *self.rows.get(&shard)?;
+        let row = self.row(shard)?;
         self.shards[row as usize].lane.as_deref_mut()
     }
 
     /// The lane of a shard, made at its first use.
-    pub fn lane_or_insert(&mut self, shard: ShardId, now: f64, make: impl FnOnce(&Server) -> L) -> &mut L {
+    pub fn lane_or_insert(&mut self, shard: ShardId, now: f64, make: impl FnOnce(Server) -> L) -> &mut L {
         let row = self.insert(shard, now);
-        let Shard { server, lane, .. } = &mut self.shards[row as usize];
-        lane.get_or_insert_with(|| Box::new(make(server)))
+        let shard = &mut self.shards[row as usize];
+        let lane = shard.lane.take().unwrap_or_else(|| Box::new(make(shard.server())));
+        shard.lane.insert(lane)
     }
 
     /// The lanes of all shards that were used.
@@ -137,7 +153,7 @@
 
     /// The lowest shard ever heard of.
     pub fn first(&self) -> Option<ShardId> {
-        self.rows.keys().next().copied()
+        self.rows.first().map(|(shard, _)| *shard)
     }
 
     /// The shards that a node serves, in the order of their ids.
@@ -161,46 +177,67 @@
         mut choose: impl FnMut(&[NodeInfo]) -> Option<&NodeInfo>,
         mut tell: impl FnMut(&mut L, &Server),
     ) {
-        if kind.replaces() {
-            self.shards.iter_mut().for_each(|shard| shard.nodes.clear());
-            self.shards.reserve_exact(nodes.len().saturating_sub(self.shards.len()));
-        }
-        let mut touched: Vec<Place> = nodes.iter().map(|info| self.list(info, now)).collect();
-        if kind.replaces() {
-            touched = self.rows.iter().map(|(shard, row)| Place { shard: *shard, row: *row }).collect();
-        }
-        touched.sort_unstable();
-        touched.dedup();
+        let mut touched = if kind.replaces() { self.forget_nodes(nodes.len()) } else { Vec::new() };
+        touched.extend(nodes.iter().map(|info| self.list(info, now)));
+        // Of what was before, the first word on each shard counts: the later ones come from the same news.
+        touched.sort_by_key(|touched| touched.shard);
+        touched.dedup_by_key(|touched| touched.shard);
         let (mut opened, mut closed) = (Vec::new(), Vec::new());
-        for Place { shard, row } in &touched {
-            let Shard { nodes, server, lane } = &mut self.shards[*row as usize];
-            let was_open = server.node.is_some();
-            server.replace(choose(nodes), now);
-            match (was_open, server.node.is_some()) {
-                (false, true) => opened.push(*shard),
-                (true, false) => closed.push(*shard),
+        for Touched { shard: id, row, before } in touched {
+            let shard = &mut self.shards[row as usize];
+            let node = choose(&shard.nodes).map(|info| info.node);
+            shard.serve(node, before, now);
+            match (before.is_some(), shard.serving.is_some()) {
+                (false, true) => opened.push(id),
+                (true, false) => closed.push(id),
                 _ => {}
             }
-            if let Some(lane) = lane {
-                tell(lane, server);
+            if let Some(mut lane) = shard.lane.take() {
+                tell(&mut lane, &shard.server());
+                shard.lane = Some(lane);
             }
         }
         self.open.insert_all(&opened);
         self.open.remove_all(&closed);
     }
 
-    fn list(&mut self, info: &NodeInfo, now: f64) -> Place {
+    /// Takes all nodes off the list, and makes room for as many shards as the next one has entries.
+    fn forget_nodes(&mut self, entries: usize) -> Vec<Touched> {
+        let more = entries.saturating_sub(self.shards.len());
+        self.shards.reserve_exact(more);
+        self.rows.reserve_exact(more);
+        let mut touched = Vec::with_capacity(self.rows.len() + entries);
+        for (id, row) in &self.rows {
+            let shard = &mut self.shards[*row as usize];
+            touched.push(Touched { shard: *id, row: *row, before: shard.start() });
+            shard.nodes.clear();
+        }
+        touched
+    }
+
+    fn list(&mut self, info: &NodeInfo, now: f64) -> Touched {
         let row = self.insert(info.shard, now);
-        self.shards[row as usize].list(info);
-        Place { shard: info.shard, row }
+        let shard = &mut self.shards[row as usize];
+        let before = shard.start();
+        shard.list(info);
+        Touched { shard: info.shard, row, before }
+    }
+
+    fn row(&self, shard: ShardId) -> Option<u32> {
+        let place = self.rows.binary_search_by_key(&shard, |(known, _)| *known).ok()?;
+        Some(self.rows[place].1)
     }
 
     /// The row of a shard, a new one if it was not heard of.
     fn insert(&mut self, shard: ShardId, now: f64) -> u32 {
-        let shards = &mut self.shards;
-        *self.rows.entry(shard).or_insert_with(|| {
-            shards.push(Shard::new(now));
-            (shards.len() - 1) as u32
-        })
+        match self.rows.binary_search_by_key(&shard, |(known, _)| *known) {
+            Ok(place) => self.rows[place].1,
+            Err(place) => {
+                let row = self.shards.len() as u32;
+                self.shards.push(Shard::new(now));
+                self.rows.insert(place, (shard, row));
+                row
+            }
+        }
     }
 }
--- a/crates/shard-table/tests/table.rs
+++ b/crates/shard-table/tests/table.rs
@@ -28,7 +28,7 @@
 }
 
 fn serving(table: &ShardTable<Lane>, shard: u32) -> Option<NodeId> {
-    Some(table.get(ShardId(shard))?.server().node.as_ref()?.node)
+    Some(table.get(ShardId(shard))?.server().node?.node)
 }
 
 fn open(table: &ShardTable<Lane>) -> Vec<u32> {
@@ -61,7 +61,7 @@
     let mut seen = Vec::new();
     for (now, info) in epochs.iter().enumerate() {
         follow(&mut table, ListKind::Changes, std::slice::from_ref(info), now as f64);
-        let server = table.get(ShardId(0)).expect("known").server().clone();
+        let server = table.get(ShardId(0)).expect("known").server();
         seen.push((server.epoch, server.since, server.zone()));
         assert_eq!(server.shard_known, 0.0);
     }
@@ -76,14 +76,14 @@
     follow(&mut table, ListKind::Whole, &ready(0..2), 1.0);
     follow(&mut table, ListKind::Changes, &[node(0, 0, NodeState::Draining)], 2.0);
     assert_eq!(table.values().count(), 0);
-    let lane = table.lane_or_insert(ShardId(0), 3.0, |server| Lane { told: vec![server.clone()] });
+    let lane = table.lane_or_insert(ShardId(0), 3.0, |server| Lane { told: vec![server] });
     assert_eq!((lane.told[0].epoch, lane.told[0].since, lane.told[0].shard_known), (2, 2.0, 1.0));
     follow(&mut table, ListKind::Changes, &[node(7, 0, NodeState::Ready)], 4.0);
     follow(&mut table, ListKind::Changes, &[node(8, 1, NodeState::Ready)], 5.0);
     let lane = table.lane(ShardId(0)).expect("used");
     assert_eq!(lane.told.iter().map(|server| server.epoch).collect::<Vec<_>>(), [2, 3]);
     assert_eq!(table.values().count(), 1);
-    let unheard_of = table.lane_or_insert(ShardId(77), 6.0, |server| Lane { told: vec![server.clone()] });
+    let unheard_of = table.lane_or_insert(ShardId(77), 6.0, |server| Lane { told: vec![server] });
     assert_eq!((unheard_of.told[0].epoch, unheard_of.told[0].shard_known), (0, 6.0));
 }
 
@@ -159,5 +159,5 @@
 /// Thousands of heads, each with thousands of nodes, have to fit into one test process.
 #[test]
 fn an_unused_shard_is_small() {
-    assert!(size_of::<Shard<Lane>>() <= 88, "{} bytes", size_of::<Shard<Lane>>());
+    assert!(size_of::<Shard<Lane>>() <= 64, "{} bytes", size_of::<Shard<Lane>>());
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -389,7 +389,7 @@
 
     fn lane(&mut self, shard: ShardId) -> &mut Lane {
         let (classes, warm_within) = (self.set.classes.len(), self.set.cold.warm_within);
-        self.lanes.lane_or_insert(shard, self.now, |server| Lane::new(classes, warm_within, server.clone()))
+        self.lanes.lane_or_insert(shard, self.now, |server| Lane::new(classes, warm_within, server))
     }
 
     /// No deadline runs any more, and the send takes no more room at its node.
@@ -489,7 +489,7 @@
 
     fn expected_wait(&self, shard: ShardId) -> f64 {
         let Some(shard) = self.lanes.get(shard) else { return f64::INFINITY };
-        let unused = Lane::new(self.set.classes.len(), self.set.cold.warm_within, shard.server().clone());
+        let unused = Lane::new(self.set.classes.len(), self.set.cold.warm_within, shard.server());
         let lane = shard.lane().unwrap_or(&unused);
         let queued: usize = lane.queues.iter().map(Vec::len).sum();
         let work = 1.0 + queued as f64 / lane.window + lane.out.len() as f64 / lane.window;
