--- a/src/discovery/client/tests/whole_lists.rs
+++ b/src/discovery/client/tests/whole_lists.rs
@@ -338,3 +338,42 @@
         }
     });
 }
+
+/// Given a call for the whole list, which is made where something was lost, when its answer is of the known version, then
+/// it is read in full all the same.
+#[test]
+fn a_call_for_the_whole_list_is_never_dropped() {
+    in_virtual_time(|| async {
+        let agent = Scripted::new(|number| match number {
+            3 => vec![Write(text(1, "draining")), Pause(Duration::from_millis(1)), Write("\n".into()), Hold],
+            _ => vec![Write(text(1, "ready")), Hold],
+        });
+        let schedule = PollSchedule::new(1, 1, false, GRACE);
+        let mut subscription = Subscription::new(agent.clone(), ([127, 0, 0, 1], 1).into(), &schedule);
+        let (calls, mut lists) = (agent.calls.clone(), vec![]);
+        while calls.get() < 5 {
+            let ask = || if calls.get() == 3 { Query::Whole } else { Query::Since(1) };
+            if let Update::List(list, ask) = subscription.next(ask).await {
+                lists.push((list.rev, ask));
+            }
+        }
+        assert_eq!(lists[..2], [(1, Query::Since(1)), (1, Query::Whole)]);
+    });
+}
+
+/// Given a list that came by a call of its own, when watches answer with the same list, then the first of them is read in
+/// full and stands, before others are dropped.
+#[test]
+fn a_watch_stands_before_any_is_dropped() {
+    in_virtual_time(|| async {
+        let agent = Scripted::new(|_| vec![Write(text(1, "ready")), Write("\n".into()), Hold]);
+        let schedule = PollSchedule::new(1, 1, false, GRACE);
+        let mut subscription = Subscription::new(agent.clone(), ([127, 0, 0, 1], 1).into(), &schedule);
+        let calls = agent.calls.clone();
+        while calls.get() < 6 {
+            let ask = || if calls.get() == 0 { Query::Whole } else { Query::Since(1) };
+            subscription.next(ask).await;
+        }
+        assert!(subscription.standing.is_some());
+    });
+}
