--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -7,11 +7,13 @@
 //! [`run`] plays one size, [`grid`] many of them.
 
 pub mod args;
+pub mod chart;
 pub mod children;
 pub mod discovery;
 pub mod events;
 pub mod fit;
 pub mod fleet;
+pub mod grid;
 pub mod hollow;
 pub mod http;
 pub mod limits;
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -67,6 +67,23 @@
     pub fn between(from: &FleetSample, to: &FleetSample) -> Costs {
         Costs { hollow: hollow(from, to), real: real(&from.real, &to.real), control: control(from, to) }
     }
+
+    /// By how much hollow heads differ from real ones; none where there are no real ones.
+    fn difference(&self) -> Option<String> {
+        let (hollow, real) = (&self.hollow, self.real.as_ref()?);
+        let part = |of: fn(&Cost) -> f64| match of(real) {
+            0.0 => "-".to_string(),
+            of_real => format!("{:+.0} %", (of(hollow) / of_real - 1.0) * 100.0),
+        };
+        Some(format!(
+            "hollow against real heads: core share {}, KB/s in {}, messages/s {}; memory {:+.2} MB (a real head is \
+             a process of its own)",
+            part(|cost| cost.core_share),
+            part(|cost| cost.in_kb_s),
+            part(|cost| cost.messages_s),
+            hollow.memory_mb - real.memory_mb
+        ))
+    }
 }
 
 /// Traffic as a head's cost, over so many heads.
@@ -139,7 +156,7 @@
 }
 
 /// What a run came to.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Run {
     /// Heads, the real ones among them.
     pub heads: u32,
@@ -174,15 +191,18 @@
     pub nodes: u32,
     /// Control machines that heads talk to; one stand-in for discovery where there are no relays.
     pub control_machines: u32,
-    /// Share of a core that a hollow head takes under the ordinary day's changes, speeded up by `day_factor`.
+    /// Share of a core that a real head takes for control under the ordinary day's changes, speeded up by `day_factor`;
+    /// a hollow one's where there is no real one.
     pub head_core_share: f64,
     /// The same at rest.
     pub head_core_share_idle: f64,
+    /// A hollow head's under the changes: in a process with many, each wake-up serves several.
+    pub head_core_share_hollow: f64,
     /// Memory of a real head, or of a hollow one where there is none.
     pub head_memory_mb: f64,
     /// Memory of a hollow head.
     pub head_memory_hollow_mb: f64,
-    /// KB of payload a second, both ways, of a hollow head under the same changes.
+    /// KB of payload a second, both ways, of a hollow head under the same changes; real ones exchange the same.
     pub head_kb_s: f64,
     /// Share of a core of the busiest control machine under the same changes.
     pub control_core_share: f64,
@@ -260,9 +280,10 @@
             heads: self.heads,
             nodes: self.nodes,
             control_machines: self.control_machines,
-            head_core_share: hollow.core_share,
-            head_core_share_idle: self.idle.hollow.core_share,
-            head_memory_mb: self.day.real.map_or(hollow.memory_mb, |real| real.memory_mb),
+            head_core_share: self.day.real.unwrap_or(*hollow).core_share,
+            head_core_share_idle: self.idle.real.unwrap_or(self.idle.hollow).core_share,
+            head_core_share_hollow: hollow.core_share,
+            head_memory_mb: self.day.real.unwrap_or(*hollow).memory_mb,
             head_memory_hollow_mb: hollow.memory_mb,
             head_kb_s: hollow.kb_s(),
             control_core_share: control.core_share,
@@ -319,6 +340,13 @@
         shown
     }
 
+    /// By how much the hollow heads differ from the real ones, for control alone.
+    pub fn difference(&self) -> String {
+        let of = |when: &str, costs: &Costs| costs.difference().map(|text| format!("{when}: {text}"));
+        let lines = [of("at rest", &self.idle), of("under the day's changes", &self.day)];
+        lines.into_iter().flatten().collect::<Vec<_>>().join("\n")
+    }
+
     /// What became of the events.
     pub fn events(&self) -> Table {
         let mut shown = Table::new();
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -4,16 +4,23 @@
 use super::args::ScaleArgs;
 use super::events::{Outcome, Player, Waits};
 use super::fleet::Fleet;
-use super::limits;
 use super::report::{Costs, Run, names};
 use super::storage::SERVING_NODES;
+use super::{grid, limits};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{Instant, sleep};
 
 /// Plays what the command line says, and prints it.
 pub async fn command(args: &ScaleArgs) -> Result<(), ScaleError> {
-    let run = play(args, Waits::new(args.quick), true).await?;
+    if args.grid {
+        let runs = grid::play_all(args).await?;
+        if let Some(largest) = runs.last() {
+            println!("{}", serde_json::to_string(&largest.summary())?);
+        }
+        return Ok(());
+    }
+    let run = play(args, Waits::new(args.quick)).await?;
     println!(
         "{} heads, {} of them real, {} nodes, {} relays, seed {}; {:.1} s",
         args.heads, args.real, args.nodes, args.relays, args.seed, run.took
@@ -26,13 +33,13 @@
             "real heads served {served} requests from {SERVING_NODES} stand-in nodes, {failed} they did not"
         );
     }
-    println!("\n{}\n\n{}\n", run.costs(), run.events());
+    println!("\n{}\n{}\n\n{}\n", run.costs(), run.difference(), run.events());
     println!("{}", serde_json::to_string(&run.summary())?);
     Ok(())
 }
 
-/// Plays one size, with or without the larger events.
-pub async fn play(args: &ScaleArgs, waits: Waits, all_events: bool) -> Result<Run, ScaleError> {
+/// Plays one size.
+pub async fn play(args: &ScaleArgs, waits: Waits) -> Result<Run, ScaleError> {
     let began = Instant::now();
     limits::check(args).await?;
     let mut fleet = Fleet::start(args, waits).await?;
@@ -44,16 +51,15 @@
     sleep(waits.idle).await;
     let after = fleet.sample().await?;
     let idle = Costs::between(&before, &after);
-    let (exchanged, seconds) = (idle.control.kb_s() * 1e3, 1.0);
-    let machines = after.control().len() as f64;
+    let idle_bytes = idle.control.kb_s() * 1e3 * after.control().len() as f64;
 
     fleet.real.iter_mut().for_each(|head| head.serve_client());
     let random = ChaCha8Rng::seed_from_u64(args.seed);
-    let idle_bytes = exchanged * machines / seconds;
     let mut player = Player { fleet: &mut fleet, random, idle_bytes, version: 1, outcomes: Vec::new() };
-    if all_events {
-        player.play().await?;
-    }
+    player.play().await?;
+    // Clients go first, so that what real heads use then is for control alone.
+    let requests = player.fleet.real.iter_mut().map(|head| head.end_client());
+    let requests = requests.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
     let before = player.fleet.sample().await?;
     player.ordinary_day().await?;
     let after = player.fleet.sample().await?;
@@ -61,8 +67,6 @@
     let (version, mut outcomes) = (player.version, player.outcomes);
     outcomes.push(Outcome::carried_by_nothing(names::CONFIGURATION));
     let astray = fleet.astray(version).await?;
-    let requests = fleet.real.iter_mut().map(|head| head.end_client());
-    let requests = requests.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
     fleet.end().await?;
     Ok(Run {
         heads: args.heads,
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -1,7 +1,9 @@
 //! `flaxgap-lab scale` as a command, at sizes that any machine plays; what it figures with is tried on known data.
 
+use flaxgap_lab::scale::chart;
 use flaxgap_lab::scale::fit::{Plane, Point, percentile};
 use flaxgap_lab::scale::limits::{LimitsError, Needs};
+use flaxgap_lab::scale::report::{Cost, Costs, Run};
 use serde_json::Value;
 use std::path::Path;
 use std::process::{Command, Output};
@@ -165,3 +167,24 @@
     let largest = plane.residuals.iter().map(|residual| residual.abs()).fold(0.0, f64::max);
     assert!(largest > 0.1 && plane.explained < 0.999, "{plane:?}");
 }
+
+/// Given runs of several sizes, then the chart has each of its pictures with the budget in it.
+#[test]
+fn the_chart_has_the_budget_as_a_line() {
+    let cost = |core_share, kb: f64| Cost { core_share, memory_mb: kb * 4.0, in_kb_s: kb, ..Cost::default() };
+    let costs =
+        |size: f64| Costs { hollow: cost(0.0004, 1.5), real: None, control: cost(size / 1e5, size / 10.0) };
+    let run = |(heads, nodes): (u32, u32)| {
+        let (idle, day) = (costs(f64::from(heads) / 8.0), costs(f64::from(heads)));
+        Run { heads, nodes, idle, day, ..Run::default() }
+    };
+    let sizes =
+        [(250, 2000), (1000, 2000), (2100, 2000), (4200, 2000), (1000, 500), (1000, 4000), (1000, 7100)];
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("scale.svg");
+    chart::draw(&sizes.map(run), &path).expect("a chart");
+    let text = std::fs::read_to_string(&path).expect("the file");
+    assert!(text.starts_with("<svg"), "{text:.100}");
+    for words in ["budget: 1 %", "budget: 15 KB/s", "budget: 128 MB", "one core"] {
+        assert!(text.contains(words), "{words}");
+    }
+}
