flaxgap-lab scale: length of the cut in the last line, room for names in the chart

Cause: a reader of the last line could not tell how long regions had been cut off; names covered points. Change: cut_s; the axes leave room below the least value.

--- a/crates/lab/src/scale/chart.rs
+++ b/crates/lab/src/scale/chart.rs
@@ -21,8 +21,9 @@
 const AT_REST: RGBColor = RGBColor(120, 170, 90);
 const REAL: RGBColor = RGBColor(200, 130, 30);
 const BUDGET: RGBColor = RGBColor(190, 50, 40);
-/// How far below the least value and above the budget the axis goes.
-const MARGIN: f64 = 2.0;
+/// How far above the budget the axis goes, and how far below the least value, where the lines' names have room.
+const ABOVE: f64 = 2.0;
+const BELOW: f64 = 10.0;
 
 /// Costs by size, in the order of sizes.
 struct Line<'a> {
@@ -67,7 +68,7 @@
             title: "head: share of a core, 2,000 nodes",
             size: "heads",
             budget: (HEAD_CORE_SHARE, "budget: 1 %"),
-            legend: SeriesLabelPosition::MiddleLeft,
+            legend: SeriesLabelPosition::LowerLeft,
             lines: vec![
                 Line {
                     name: "real, under changes",
@@ -90,7 +91,7 @@
             title: "head: KB a second, 2,000 nodes",
             size: "heads",
             budget: (HEAD_KB_S, "budget: 15 KB/s"),
-            legend: SeriesLabelPosition::MiddleLeft,
+            legend: SeriesLabelPosition::MiddleRight,
             lines: vec![
                 Line {
                     name: "under changes",
@@ -104,7 +105,7 @@
             title: "head: memory in MB, 1,000 heads",
             size: "nodes",
             budget: (HEAD_MEMORY_MB, "budget: 128 MB"),
-            legend: SeriesLabelPosition::MiddleLeft,
+            legend: SeriesLabelPosition::LowerRight,
             lines: vec![
                 Line {
                     name: "real head",
@@ -153,7 +154,7 @@
             .margin(12)
             .x_label_area_size(36)
             .y_label_area_size(64)
-            .build_cartesian_2d(0.0..widest, (least / MARGIN..most * MARGIN).log_scale())?;
+            .build_cartesian_2d(0.0..widest, (least / BELOW..most * ABOVE).log_scale())?;
         chart
             .configure_mesh()
             .x_desc(self.size)
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -172,6 +172,8 @@
     pub day: Costs,
     /// How many times faster.
     pub day_factor: f64,
+    /// How long regions were cut off from each other, in seconds.
+    pub cut_s: f64,
     /// What became of the events.
     pub outcomes: Vec<Outcome>,
     /// Heads whose list was not the true one at the end.
@@ -226,6 +228,8 @@
     pub missed: usize,
     /// How many times faster than on an ordinary day the list changed.
     pub day_factor: f64,
+    /// How long regions were cut off from each other, in seconds.
+    pub cut_s: f64,
     /// The run's seed.
     pub seed: u64,
     /// The revision that was measured.
@@ -297,6 +301,7 @@
             partition_heal_last_s: last(names::HEAL),
             missed: self.outcomes.iter().map(|outcome| outcome.missed).sum::<usize>() + self.astray,
             day_factor: self.day_factor,
+            cut_s: self.cut_s,
             seed: self.seed,
             revision: revision(),
             took_s: self.took,
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -22,8 +22,8 @@
     }
     let run = play(args, Waits::new(args.quick)).await?;
     println!(
-        "{} heads, {} of them real, {} nodes, {} relays, seed {}; {:.1} s",
-        args.heads, args.real, args.nodes, args.relays, args.seed, run.took
+        "{} heads, {} of them real, {} nodes, {} relays, seed {}; regions cut for {:.0} s; {:.1} s in all",
+        args.heads, args.real, args.nodes, args.relays, args.seed, run.cut_s, run.took
     );
     if args.real == 0 {
         println!("no real heads: hollow figures stand alone");
@@ -76,6 +76,7 @@
         idle,
         day,
         day_factor: waits.day_factor(),
+        cut_s: waits.cut.as_secs_f64(),
         outcomes,
         astray,
         requests,
