--- a/crates/distribution/tests/selection.rs
+++ b/crates/distribution/tests/selection.rs
@@ -416,3 +416,24 @@
     let pacing = Pacing::default();
     assert!(pacing.sweep_s <= 4.0 && pacing.second_s == 10.0 && pacing.return_s == 60.0);
 }
+
+/// Given one relay that speaks and another that refuses each call, then the head is polled a few times a second at most,
+/// also while the second watch is due and no relay may be tried for it: it had kept a core busy until one could.
+#[test]
+fn a_second_watch_that_no_relay_may_give_yet_is_not_polled_for_without_an_end() {
+    let mut selection = selection("head-1", coming_relays().into_iter().take(2).collect(), 1);
+    let (mut now, mut open, mut polls) = (NOW, None, 0u32);
+    while now < NOW + 60.0 {
+        for directive in selection.poll(now) {
+            let Directive::Open { slot, relay, .. } = directive else { continue };
+            if *open.get_or_insert(relay) == relay {
+                selection.opened(slot, now);
+            } else {
+                selection.lost(slot, LostReason::Refused, now);
+            }
+        }
+        polls += 1;
+        assert!(polls <= 600, "{polls} polls by {:.3} s", now - NOW);
+        now = selection.next_poll(now).max(now);
+    }
+}
