--- a/crates/lab/src/scale/args.rs
+++ b/crates/lab/src/scale/args.rs
@@ -36,6 +36,9 @@
     /// Shorter spans, so that the largest fleet ends within 50 s.
     #[arg(long)]
     pub quick: bool,
+    /// Seconds for which regions are cut off from each other; else 180, or 4 with --quick.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=3600))]
+    pub cut: Option<u64>,
     /// Plays many sizes, fits the costs, and writes table and chart.
     #[arg(long)]
     pub grid: bool,
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -9,6 +9,7 @@
 use super::{grid, limits};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
 /// Plays what the command line says, and prints it.
@@ -20,7 +21,9 @@
         }
         return Ok(());
     }
-    let run = play(args, Waits::new(args.quick)).await?;
+    let mut waits = Waits::new(args.quick);
+    waits.cut = args.cut.map_or(waits.cut, Duration::from_secs);
+    let run = play(args, waits).await?;
     println!(
         "{} heads, {} of them real, {} nodes, {} relays, seed {}; regions cut for {:.0} s; {:.1} s in all",
         args.heads, args.real, args.nodes, args.relays, args.seed, run.cut_s, run.took
