A relay's watch begins with a list also where nothing has come after its version

Cause: a watch that knew the relay's version heard an empty line first. The protocol has the first line hold the changes after that version, and a head with an earlier list took itself to be without discovery's word, as its log then said. Change: the first line is a list of the version without entries.

--- a/crates/distribution/src/encode.rs
+++ b/crates/distribution/src/encode.rs
@@ -68,6 +68,11 @@
     line(&WireList { rev, all: false, targets: entries.iter().map(wire_entry).collect() })
 }
 
+/// One line that says that nothing has come after a version.
+pub(crate) fn no_changes(rev: u64) -> Bytes {
+    format!("{{\"rev\":{rev},\"all\":false,\"targets\":[]}}\n").into()
+}
+
 /// One line with the whole list.
 pub(crate) fn whole<'a>(
     rev: u64,
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -375,6 +375,11 @@
         }
     }
 
+    /// The line for one that knows the version of the copy: the protocol has each watch begin with a list.
+    pub fn no_changes(&self) -> Bytes {
+        encode::no_changes(self.version())
+    }
+
     /// The position after the last record: where one goes on that has just got the whole list.
     pub fn end(&self) -> Position {
         self.log.end()
--- a/crates/distribution/src/watcher.rs
+++ b/crates/distribution/src/watcher.rs
@@ -101,7 +101,10 @@
             Resume::Ahead | Resume::Whole => self.ask_whole(),
             Resume::Changes { from } => {
                 self.stage = Stage::Follows(from);
-                self.follow(from, replica, now)
+                match self.follow(from, replica, now) {
+                    Next::Heartbeat | Next::Wait { .. } => Next::Send(replica.no_changes()),
+                    next => next,
+                }
             }
         }
     }
