A test's agent waits for a port that another test's connection holds for a moment

Change: the stand-in binds until it can, within the tests' patience; what the test asserts is as before.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -641,7 +641,7 @@
         address: SocketAddr,
         script: impl Fn(usize, &str) -> Vec<Say> + Send + Sync + 'static,
     ) -> Agent {
-        let listener = TcpListener::bind(address).expect("a port");
+        let listener = wait(|| TcpListener::bind(address).ok());
         let address = listener.local_addr().expect("an address");
         let (asked, script) = (Arc::new(Mutex::new(Vec::new())), Arc::new(script));
         let calls = asked.clone();
