A long upload's attempt begins only if its client was connected 80 ms ago or less

Cause: nothing of such an upload is read while it waits. Once the receive buffer is full (98 to 128 KB here) the client's system keeps the rest and the end behind it, so the permit's look at the socket saw a connected client.

Change: a long upload is read ahead while it waits, into spare memory; its end then ends the request at once. Before the connection and the first byte client_check makes certain that the client is connected, by reading what is there; memory for it is reserved first, in order, and without it the attempt is NotSent. A frame of a body is read up to 64 KiB at a time.

--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -10,6 +10,9 @@
 pub trait Client: fmt::Debug {
     /// Whether it is still connected, at this moment.
     fn is_connected(&self) -> bool;
+
+    /// Whether it is connected, and nothing that it sent waits unread for its end to stand behind, at this moment.
+    fn has_nothing_unread(&self) -> bool;
 }
 
 /// A request as a frontend hands it over.
--- a/src/core/dispatcher.rs
+++ b/src/core/dispatcher.rs
@@ -1,12 +1,12 @@
 //! The dispatcher: it notifies the scheduler of events and carries out the actions that the scheduler asks for.
 
 use crate::Scheduler;
-use crate::core::content::UploadStream;
 use crate::core::decision::{Decision, PendingDecisions};
 use crate::core::request_ids::RecentRequestIds;
 use crate::core::request_table::{RequestTable, UnreportedAttempt};
 use crate::core::shedding::SheddingState;
 use crate::core::timers::Timers;
+use crate::core::upload::UploadStream;
 use crate::core::{AttemptResult, Clock, Observer, ShutdownDeadline, seconds};
 use crate::metrics::counters::Counters;
 use crate::scheduler::{
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! for each request in flight; a [`Transport`] carries attempts to storage nodes. Everything runs on one thread.
 
 pub mod content;
+pub mod upload;
 
 mod answer;
 mod attempt;
--- a/src/core/send_permit.rs
+++ b/src/core/send_permit.rs
@@ -1,8 +1,10 @@
 //! The permission of an attempt to begin, checked right before its first byte is written.
 
+use crate::core::upload::UploadStream;
 use crate::core::{Client, ShutdownDeadline, WriteProgress};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Why the first byte of an attempt may not be written.
@@ -16,6 +18,8 @@
     Shutdown,
     /// Its client has disconnected.
     ClientDisconnected,
+    /// Its client may have disconnected: unread bytes of its upload may hide that.
+    ClientUnconfirmed,
 }
 
 /// The permission of one attempt to begin, and the record of how much of it was written.
@@ -32,6 +36,8 @@
     pub shutdown_deadline: Rc<ShutdownDeadline>,
     /// The client that waits for the answer.
     pub client: Option<Rc<dyn Client>>,
+    /// The body, if it is forwarded as it arrives.
+    pub upload: Option<Rc<UploadStream>>,
     /// How much of the request was written; the core reads it when the attempt has ended.
     pub written: Cell<WriteProgress>,
 }
@@ -44,6 +50,7 @@
             retry_window_ends_at: None,
             shutdown_deadline: Rc::default(),
             client: None,
+            upload: None,
             written: Cell::default(),
         }
     }
@@ -63,9 +70,20 @@
         if self.client.as_ref().is_some_and(|client| !client.is_connected()) {
             return Some(PermitExpired::ClientDisconnected);
         }
+        if self.unconfirmed_upload(now, Duration::ZERO).is_some() {
+            return Some(PermitExpired::ClientUnconfirmed);
+        }
         None
     }
 
+    /// The client and its upload, if that may hide that the client has disconnected and it is not certain for an attempt
+    /// that begins within `margin`.
+    pub fn unconfirmed_upload(&self, now: Instant, margin: Duration) -> Option<(&dyn Client, &UploadStream)> {
+        let client = self.client.as_deref()?;
+        let upload = self.upload.as_deref()?;
+        (!upload.is_client_confirmed(now, margin)).then_some((client, upload))
+    }
+
     /// The latest moment at which the attempt may begin, and so until when to wait for a connection.
     pub fn latest_start(&self) -> Instant {
         let mut latest = self.expires_at;
--- a/src/core/serve.rs
+++ b/src/core/serve.rs
@@ -10,10 +10,11 @@
 //! `is_forwarding_body`, once the attempt has taken the body. From then on the request can't be sent again, the
 //! scheduler's deadline no longer applies, and the shutdown deadline doesn't cut the request off.
 
-use crate::core::content::{StreamedBody, UploadStream};
+use crate::core::content::StreamedBody;
 use crate::core::decision::{Decision, SendDecision};
 use crate::core::dispatcher::OVERDUE_AFTER;
 use crate::core::request_guard::RequestGuard;
+use crate::core::upload::UploadStream;
 use crate::core::{Answer, AttemptResult, Call, Dispatcher, SendPermit, Transport};
 use crate::metrics::counters::{FinalOutcome, InFlightRequest};
 use crate::scheduler::{AttemptOutcome, Event};
@@ -74,6 +75,8 @@
     CutOffByShutdown,
     /// The scheduler owes a decision past the request's deadline.
     SchedulerOverdue,
+    /// Its client ended a streamed body before an attempt had taken it; the scheduler takes the request to be in flight.
+    UploadBroken,
 }
 
 /// What ended an attempt.
@@ -129,7 +132,7 @@
                 return request.answer(conclusion, in_flight);
             }
             // The scheduler still takes the request to be in flight: the guard's drop corrects that.
-            Conclusion::CutOffByShutdown => {}
+            Conclusion::CutOffByShutdown | Conclusion::UploadBroken => {}
             Conclusion::Served(_) | Conclusion::Rejected { .. } | Conclusion::Failed => {
                 request.guard.complete();
             }
@@ -168,7 +171,8 @@
         }
     }
 
-    /// Waits for the scheduler's decision, no longer than until the shutdown deadline or until it is overdue.
+    /// Waits for the scheduler's decision, no longer than until the shutdown deadline or until it is overdue. A streamed
+    /// body is read ahead meanwhile, so that its client's end is seen.
     async fn wait_for_decision(&self, shutdown: Pin<&mut impl Future<Output = ()>>) -> ServeState {
         tokio::select! {
             biased;
@@ -177,6 +181,7 @@
                 ServeState::Finished(Conclusion::CutOffByShutdown)
             }
             () = sleep_until(self.overdue_at) => ServeState::Finished(Conclusion::SchedulerOverdue),
+            () = upload_broken(self.upload()) => ServeState::Finished(Conclusion::UploadBroken),
         }
     }
 
@@ -221,6 +226,7 @@
             retry_window_ends_at: self.retry_window_ends_at,
             shutdown_deadline: self.dispatcher.shutdown_deadline.clone(),
             client: self.call.client.clone(),
+            upload: self.upload().cloned(),
             written: Cell::default(),
         }
     }
@@ -280,6 +286,8 @@
         match conclusion {
             Conclusion::Served(body) => Answer::Served(body, in_flight),
             Conclusion::Rejected { retry_after_s } => rejected(retry_after_s, &in_flight),
+            // Nobody waits for it: it counts as gone.
+            Conclusion::UploadBroken => Answer::Failed,
             Conclusion::CutOffByShutdown if !self.may_have_run => rejected(0.0, &in_flight),
             Conclusion::CutOffByShutdown | Conclusion::Failed | Conclusion::SchedulerOverdue => {
                 failed(&in_flight)
@@ -306,6 +314,17 @@
     }
 }
 
+/// Reads a streamed body ahead until it breaks off; waits for ever if it does not, or where the body is in memory.
+async fn upload_broken(upload: Option<&Rc<UploadStream>>) {
+    match upload {
+        Some(upload) if !upload.is_taken() => {
+            let error = upload.read_while_waiting().await;
+            log::debug!("core: upload ended while it waited, error={error}");
+        }
+        _ => std::future::pending().await,
+    }
+}
+
 fn failed(in_flight: &InFlightRequest) -> Answer {
     in_flight.finish(FinalOutcome::Failed);
     Answer::Failed
--- /dev/null
+++ b/src/core/upload.rs
@@ -0,0 +1,319 @@
+//! A write's body that is too long to buffer: it is forwarded to a node as it arrives.
+//!
+//! Unread bytes of it may hide that its client has disconnected: the connection's end stands behind them, and once the
+//! receive buffer is full, the client's system does not even send it. So the body is read ahead into memory before its
+//! attempt begins: while the request waits, as far as there is spare memory, and right before the attempt until it is
+//! certain that the client was connected a moment ago (`node::client_check`).
+
+use crate::core::content::IncompleteBody;
+use crate::resources::memory::{BodyMemory, MemoryReservation};
+use bytes::Bytes;
+use futures_core::Stream;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::fmt;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The bytes of an upload as its client sends them. The client is held back until the next item is polled.
+pub trait UploadSource: Stream<Item = Result<Bytes, IncompleteBody>> {
+    /// Notes that nothing is waited for until the next poll: the time until then is not the client's.
+    fn pause(self: Pin<&mut Self>);
+}
+
+/// Bytes that were read before an attempt took the body.
+#[derive(Default)]
+struct ReadAhead {
+    chunks: VecDeque<Bytes>,
+    /// How many bytes the chunks have.
+    length: usize,
+    /// Their part of the memory for bodies.
+    reservation: Option<MemoryReservation>,
+}
+
+impl ReadAhead {
+    fn push(&mut self, chunk: Bytes) {
+        self.length += chunk.len();
+        self.chunks.push_back(chunk);
+    }
+
+    fn pop(&mut self) -> Option<Bytes> {
+        let chunk = self.chunks.pop_front()?;
+        self.length -= chunk.len();
+        self.release_unused();
+        Some(chunk)
+    }
+
+    /// Gives back the memory that no chunk takes.
+    fn release_unused(&mut self) {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.shrink_to(self.length);
+        }
+    }
+}
+
+/// Memory that is taken at a time to read ahead while the request waits, in bytes.
+const READ_AHEAD_STEP_BYTES: usize = 256 * 1024;
+
+/// A write's body that is forwarded to a node as it arrives, and by one attempt only.
+pub struct UploadStream {
+    source: RefCell<Pin<Box<dyn UploadSource>>>,
+    read_ahead: RefCell<ReadAhead>,
+    memory: Rc<BodyMemory>,
+    /// An attempt has taken the body.
+    taken: Cell<bool>,
+    /// Length of the complete body in bytes, if known.
+    pub length: Option<u64>,
+    /// How many bytes have arrived.
+    received: Cell<u64>,
+    /// How long the client waits for its answer after the body's last byte.
+    response_timeout: Duration,
+    /// Notified when an attempt takes the body.
+    taken_notify: Notify,
+    /// When the body was taken or last yielded bytes.
+    last_progress: Cell<Instant>,
+    /// When bytes last arrived.
+    last_received: Cell<Instant>,
+    /// When the last byte arrived.
+    ended_at: Cell<Option<Instant>>,
+    /// The body broke off.
+    broken: Cell<bool>,
+    /// A moment at which the client was connected, if any is known.
+    client_confirmed_at: Cell<Option<Instant>>,
+}
+
+impl fmt::Debug for UploadStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("UploadStream").field("length", &self.length).finish()
+    }
+}
+
+impl UploadStream {
+    /// Longest time in which a node may accept nothing of the body before its attempt ends as stalled.
+    const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+    /// How long after the client was known to be connected an attempt may begin. No attempt may begin over 0.1 s after
+    /// its client has disconnected; the rest is for the first byte's way to the node.
+    const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(80);
+
+    /// An upload that no attempt has taken yet. `beginning` was read from it before; `memory` is what more of it may be
+    /// read ahead into.
+    pub fn new(
+        beginning: Bytes,
+        source: Pin<Box<dyn UploadSource>>,
+        length: Option<u64>,
+        response_timeout: Duration,
+        memory: Rc<BodyMemory>,
+    ) -> Rc<UploadStream> {
+        let now = Instant::now();
+        let received = beginning.len() as u64;
+        let mut read_ahead = ReadAhead::default();
+        if !beginning.is_empty() {
+            read_ahead.push(beginning);
+        }
+        Rc::new(UploadStream {
+            source: RefCell::new(source),
+            read_ahead: RefCell::new(read_ahead),
+            memory,
+            taken: Cell::new(false),
+            length,
+            received: Cell::new(received),
+            response_timeout,
+            taken_notify: Notify::new(),
+            last_progress: Cell::new(now),
+            last_received: Cell::new(now),
+            ended_at: Cell::new(None),
+            broken: Cell::new(false),
+            client_confirmed_at: Cell::new(None),
+        })
+    }
+
+    /// Takes the body to send it; `None` if an earlier attempt has taken it, since it can't be sent again.
+    pub fn take(self: &Rc<Self>) -> Option<UploadReader> {
+        self.last_progress.set(Instant::now());
+        self.taken_notify.notify_one();
+        let taken_before = self.taken.replace(true);
+        if taken_before { None } else { Some(UploadReader { upload: self.clone() }) }
+    }
+
+    /// Whether an attempt has taken the body.
+    pub fn is_taken(&self) -> bool {
+        self.taken.get()
+    }
+
+    /// Waits until an attempt has taken the body.
+    pub async fn wait_taken(&self) {
+        self.taken_notify.notified().await;
+    }
+
+    /// Reads and discards what is left of the body, so that a client that is still sending can read its answer.
+    pub async fn drain(self: Rc<Self>) {
+        while let Some(Ok(_)) = poll_fn(|cx| self.poll(cx)).await {}
+    }
+
+    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, IncompleteBody>>> {
+        if let Some(chunk) = self.read_ahead.borrow_mut().pop() {
+            self.last_progress.set(Instant::now());
+            return Poll::Ready(Some(Ok(chunk)));
+        }
+        self.poll_source(cx)
+    }
+
+    fn poll_source(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, IncompleteBody>>> {
+        if self.ended_at.get().is_some() {
+            return Poll::Ready(None);
+        }
+        let chunk = ready!(self.source.borrow_mut().as_mut().poll_next(cx));
+        let now = Instant::now();
+        self.last_progress.set(now);
+        match &chunk {
+            Some(Ok(bytes)) => {
+                self.received.set(self.received.get() + bytes.len() as u64);
+                self.last_received.set(now);
+            }
+            Some(Err(_)) => self.broken.set(true),
+            None => self.ended_at.set(Some(now)),
+        }
+        Poll::Ready(chunk)
+    }
+
+    /// When the last byte arrived; `None` while more is to come.
+    pub fn ended_at(&self) -> Option<Instant> {
+        self.ended_at.get()
+    }
+
+    /// By when the attempt that sends the body must end. While bytes still arrive, it only must not stall.
+    pub fn attempt_deadline(&self) -> Instant {
+        match self.ended_at.get() {
+            Some(ended_at) => ended_at + self.response_timeout,
+            None => self.last_progress.get() + UploadStream::STALL_TIMEOUT,
+        }
+    }
+}
+
+/// Reading ahead, before an attempt takes the body.
+impl UploadStream {
+    /// How many bytes are still to arrive, if that is known.
+    pub fn remaining(&self) -> Option<u64> {
+        if self.ended_at.get().is_some() {
+            return Some(0);
+        }
+        Some(self.length?.saturating_sub(self.received.get()))
+    }
+
+    /// How many bytes have arrived.
+    pub fn received(&self) -> u64 {
+        self.received.get()
+    }
+
+    /// When bytes last arrived, or else the upload began.
+    pub fn last_received(&self) -> Instant {
+        self.last_received.get()
+    }
+
+    /// Waits for memory to read so many bytes ahead; those who came first get theirs first.
+    pub async fn reserve_memory(&self, bytes: usize) {
+        let reservation = self.memory.reserve(bytes).await;
+        self.add_memory(reservation);
+    }
+
+    /// Takes memory to read so many bytes ahead, if they are free; whether they were.
+    pub fn try_reserve_memory(&self, bytes: usize) -> bool {
+        let reservation = self.memory.try_reserve(bytes);
+        reservation.map(|reservation| self.add_memory(reservation)).is_some()
+    }
+
+    fn add_memory(&self, reservation: MemoryReservation) {
+        let read_ahead = &mut *self.read_ahead.borrow_mut();
+        match &mut read_ahead.reservation {
+            Some(held) => held.merge(reservation),
+            None => read_ahead.reservation = Some(reservation),
+        }
+    }
+
+    /// Whether there is memory to read more ahead.
+    pub fn may_read_ahead(&self) -> bool {
+        let read_ahead = self.read_ahead.borrow();
+        read_ahead.reservation.as_ref().is_some_and(|reservation| read_ahead.length < reservation.bytes())
+    }
+
+    /// Reads the next bytes ahead and returns their number; never returns once all have arrived. The client is not held
+    /// to its pace meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// [`IncompleteBody`] if the body broke off, now or before.
+    pub async fn read_ahead(&self) -> Result<usize, IncompleteBody> {
+        if self.broken.get() {
+            return Err(IncompleteBody::new("its client ended it"));
+        }
+        let next = poll_fn(|cx| {
+            let polled = self.poll_source(cx);
+            if polled.is_pending() {
+                self.source.borrow_mut().as_mut().pause();
+            }
+            polled
+        });
+        match next.await {
+            Some(Ok(chunk)) => {
+                let length = chunk.len();
+                self.read_ahead.borrow_mut().push(chunk);
+                Ok(length)
+            }
+            Some(Err(error)) => Err(error),
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Reads ahead while the request waits, as far as there is spare memory. Returns only if the body breaks off.
+    pub async fn read_while_waiting(&self) -> IncompleteBody {
+        loop {
+            if !self.may_read_ahead() && !self.take_spare_memory() {
+                std::future::pending::<()>().await;
+            }
+            if let Err(error) = self.read_ahead().await {
+                return error;
+            }
+        }
+    }
+
+    fn take_spare_memory(&self) -> bool {
+        let remaining = self.remaining().and_then(|remaining| usize::try_from(remaining).ok());
+        let bytes = remaining.unwrap_or(READ_AHEAD_STEP_BYTES).min(READ_AHEAD_STEP_BYTES);
+        let reservation = self.memory.try_reserve_spare(bytes);
+        reservation.map(|reservation| self.add_memory(reservation)).is_some()
+    }
+
+    /// Gives back memory that was taken to read ahead and not needed.
+    pub fn release_unused_memory(&self) {
+        self.read_ahead.borrow_mut().release_unused();
+    }
+
+    /// Notes that the client was connected at this moment.
+    pub fn confirm_client(&self, at: Instant) {
+        self.client_confirmed_at.set(Some(at));
+    }
+
+    /// Whether the client was known to be connected so short a time ago that an attempt may begin within `margin`.
+    pub fn is_client_confirmed(&self, now: Instant, margin: Duration) -> bool {
+        let is_recent = |at: Instant| now.duration_since(at) + margin <= UploadStream::CONFIRMATION_VALIDITY;
+        self.client_confirmed_at.get().is_some_and(is_recent)
+    }
+}
+
+/// Reads an upload's bytes, for the one attempt that sends them.
+pub struct UploadReader {
+    upload: Rc<UploadStream>,
+}
+
+impl Stream for UploadReader {
+    type Item = Result<Bytes, IncompleteBody>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.upload.poll(cx)
+    }
+}
--- a/src/frontend/intake/connection_state.rs
+++ b/src/frontend/intake/connection_state.rs
@@ -281,6 +281,10 @@
             Err(error) => error.kind() == io::ErrorKind::WouldBlock,
         }
     }
+
+    fn has_nothing_unread(&self) -> bool {
+        ConnectionState::has_nothing_unread(self)
+    }
 }
 
 /// Whether the other side has ended its sending, as far as the runtime knows.
--- a/src/frontend/intake/reader.rs
+++ b/src/frontend/intake/reader.rs
@@ -4,7 +4,7 @@
 
 use super::connection_state::ConnectionState;
 use super::framing::{self, MAX_HEAD_BYTES, Parsed, Part};
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -14,6 +14,9 @@
 
 /// Bytes that are read at a time.
 const READ_BYTES: usize = 4096;
+/// Bytes of a body that are read at a time at most. Each read takes no more than all earlier ones together, so that the
+/// receive buffer of an upload that waits is nearly as its client has filled it.
+const MAX_BODY_READ_BYTES: usize = 64 * 1024;
 /// Most bytes that are buffered of requests that come before the current one is answered: a complete head. Clients send
 /// one request at a time; what goes past this is read and dropped, so that the client's end is seen behind it.
 const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES;
@@ -28,6 +31,8 @@
     released: usize,
     /// What follows the released bytes.
     next: Part,
+    /// Bytes that were read in the middle of the present body.
+    body_bytes_read: usize,
     /// More came before its turn than is buffered.
     pipeline_overflowed: bool,
 }
@@ -40,6 +45,7 @@
             buffered: BytesMut::new(),
             released: 0,
             next: Part::Head,
+            body_bytes_read: 0,
             pipeline_overflowed: false,
         }
     }
@@ -49,6 +55,27 @@
         self.state.is_answer_due() && self.next == Part::Head
     }
 
+    /// Reads what has come, if any, and buffers it; returns its length, 0 at the client's end.
+    fn try_read(&mut self) -> io::Result<usize> {
+        let state = self.state.clone();
+        if matches!(self.next, Part::Body { .. } | Part::Chunk { .. }) {
+            return self.try_read_body();
+        }
+        let mut bytes = [0; READ_BYTES];
+        let count = state.stream.try_read(&mut bytes)?;
+        self.buffer(&bytes[..count]);
+        Ok(count)
+    }
+
+    /// The same in the middle of a body.
+    fn try_read_body(&mut self) -> io::Result<usize> {
+        let max_bytes = self.body_bytes_read.clamp(READ_BYTES, MAX_BODY_READ_BYTES);
+        self.buffered.reserve(max_bytes);
+        let count = self.state.stream.try_read_buf(&mut (&mut self.buffered).limit(max_bytes))?;
+        self.body_bytes_read += count;
+        Ok(count)
+    }
+
     /// Buffers bytes that came. What belongs to no request that will be served is dropped.
     fn buffer(&mut self, bytes: &[u8]) {
         if self.next == Part::Unreadable {
@@ -132,6 +159,7 @@
     /// The request's last byte is released.
     fn request_ended(&mut self) {
         self.next = Part::Head;
+        self.body_bytes_read = 0;
         self.state.body_ended();
         if self.buffered.len() > self.released {
             self.state.request_arriving();
@@ -185,12 +213,10 @@
                 log::info!("http: too many pipelined bytes, connection closes, max={MAX_PIPELINED_BYTES}");
                 return Poll::Ready(Ok(()));
             }
-            let mut bytes = [0; READ_BYTES];
-            let state = this.state.clone();
-            ready!(state.stream.poll_read_ready(cx))?;
-            match state.stream.try_read(&mut bytes) {
+            ready!(this.state.stream.poll_read_ready(cx))?;
+            match this.try_read() {
                 Ok(0) => return Poll::Ready(Ok(())),
-                Ok(count) => this.buffer(&bytes[..count]),
+                Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
--- a/src/frontend/request.rs
+++ b/src/frontend/request.rs
@@ -10,7 +10,8 @@
 pub use response::ResponseBody;
 
 use crate::config::WireSettings;
-use crate::core::content::{Payload, PrefixedStream, UploadStream};
+use crate::core::content::Payload;
+use crate::core::upload::UploadStream;
 use crate::core::{Call, Client, Dispatcher, NodeRequest, Operation, Transport, seconds};
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::metrics::counters::{Counters, FinalOutcome, InFlightRequest};
@@ -146,7 +147,7 @@
         // A request's time counts from its last byte.
         let time_left = seconds(fields.time_left_s);
         let deadline = Instant::now() + time_left;
-        let payload = body.into_payload(time_left);
+        let payload = body.into_payload(time_left, &self.memory);
         Ok(Call {
             class: fields.class,
             plan: fields.plan,
@@ -206,12 +207,14 @@
 
 impl<B: Body<Data = Bytes> + Unpin + 'static> ReadBody<B> {
     /// The payload for a node. `response_timeout` is how long the client waits after the body's last byte.
-    fn into_payload(self, response_timeout: Duration) -> Payload {
+    fn into_payload(self, response_timeout: Duration, memory: &Rc<BodyMemory>) -> Payload {
         if self.buffered.is_complete {
             return Payload::Buffered(self.buffered.bytes);
         }
-        let stream = PrefixedStream::boxed(self.buffered.bytes, Box::pin(self.rest));
-        Payload::Streamed(UploadStream::new(stream, self.length, response_timeout))
+        let rest = Box::pin(self.rest);
+        let beginning = self.buffered.bytes;
+        let upload = UploadStream::new(beginning, rest, self.length, response_timeout, memory.clone());
+        Payload::Streamed(upload)
     }
 }
 
--- a/src/frontend/request/paced_body.rs
+++ b/src/frontend/request/paced_body.rs
@@ -2,6 +2,7 @@
 
 use super::error::BadRequest;
 use crate::core::content::IncompleteBody;
+use crate::core::upload::UploadSource;
 use crate::resources::memory::MAX_BODY_BYTES;
 use bytes::Bytes;
 use futures_core::Stream;
@@ -54,11 +55,16 @@
         self.timeout.as_mut().poll(cx)
     }
 
-    /// Notes that the next frame, or the end, has come.
-    fn frame_received(&mut self, data_bytes: usize) {
+    /// Ends a wait for the next frame, whether it has come or not.
+    fn end_wait(&mut self) {
         if let Some(since) = self.waiting_since.take() {
             self.waited += since.elapsed();
         }
+    }
+
+    /// Notes that the next frame, or the end, has come.
+    fn frame_received(&mut self, data_bytes: usize) {
+        self.end_wait();
         self.received_bytes += data_bytes as u64;
     }
 }
@@ -112,3 +118,9 @@
         }
     }
 }
+
+impl<B: Body<Data = Bytes> + Unpin> UploadSource for PacedBody<B> {
+    fn pause(mut self: Pin<&mut Self>) {
+        self.end_wait();
+    }
+}
--- a/src/metrics/counters.rs
+++ b/src/metrics/counters.rs
@@ -161,6 +161,8 @@
     held_back_end,
     /// Attempts not begun because their client had disconnected.
     held_back_client,
+    /// Attempts not begun because unread bytes of the upload may have hidden that its client had disconnected.
+    held_back_unconfirmed,
     /// Connections not used because unexpected data had arrived on them; the attempt took another one.
     held_back_connection,
     /// Connections opened to nodes.
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request sent to a node once, and its outcome.
 
+use super::client_check;
 use super::connection::NodeConnection;
 use super::guard::{NotSentReason, SendGuard, Stage};
 use super::progress::ExchangeProgress;
@@ -47,10 +48,19 @@
     /// Tries connections until one carries the exchange.
     async fn run(&self) -> AttemptResult {
         loop {
+            // A client that turns out to have disconnected costs the node no connection.
+            if self.confirm_client().await.is_err() {
+                return AttemptResult::empty(AttemptOutcome::NotSent);
+            }
             let (connection, origin) = match self.acquire_connection().await {
                 Ok(acquired) => acquired,
                 Err(outcome) => return AttemptResult::empty(outcome),
             };
+            // Opening the connection may have taken long.
+            if self.confirm_client().await.is_err() {
+                self.transport.pool.put(self.guard.node, connection);
+                return AttemptResult::empty(AttemptOutcome::NotSent);
+            }
             let not_sent = match self.exchange(connection).await {
                 Ok(result) => return result,
                 Err(reason) => reason,
@@ -69,6 +79,16 @@
         }
     }
 
+    /// Makes sure that the client of a streamed body is connected.
+    async fn confirm_client(&self) -> Result<(), PermitExpired> {
+        let memory_timeout = self.transport.connect_timeout;
+        let confirmed = client_check::confirm_client(&self.guard.permit, memory_timeout).await;
+        if let Err(expired) = confirmed {
+            self.guard.record_expired(Stage::Chosen, expired);
+        }
+        confirmed
+    }
+
     /// Takes a connection from the pool or opens one.
     async fn acquire_connection(&self) -> Result<(NodeConnection, ConnectionOrigin), AttemptOutcome> {
         if let Some(connection) = self.transport.pool.take(self.guard.node).await {
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -80,14 +80,20 @@
     /// Checks that the permit has not expired.
     pub(super) fn check_permit(&self, stage: Stage) -> Result<(), NotSentReason> {
         let Some(expired) = self.permit.expired(Instant::now()) else { return Ok(()) };
+        self.record_expired(stage, expired);
+        Err(NotSentReason::PermitExpired(expired))
+    }
+
+    /// Counts and logs that a permit has expired.
+    pub(super) fn record_expired(&self, stage: Stage, expired: PermitExpired) {
         match expired {
             PermitExpired::Deadline => self.counters.held_back_deadline.add(),
             PermitExpired::RetryWindow => self.counters.held_back_window.add(),
             PermitExpired::Shutdown => self.counters.held_back_end.add(),
             PermitExpired::ClientDisconnected => self.counters.held_back_client.add(),
+            PermitExpired::ClientUnconfirmed => self.counters.held_back_unconfirmed.add(),
         }
         log::debug!("node: request not sent, node={} stage={stage:?} reason={expired:?}", self.node.0);
-        Err(NotSentReason::PermitExpired(expired))
     }
 
     /// Checks that nothing has arrived on the connection since it was last read.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 
 mod addresses;
 mod attempt;
+mod client_check;
 mod connection;
 mod guard;
 mod limits;
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -1,7 +1,8 @@
 //! A request as it goes to a node, and its body.
 
 use super::progress::ExchangeProgress;
-use crate::core::content::{IncompleteBody, Payload, UploadReader};
+use crate::core::content::{IncompleteBody, Payload};
+use crate::core::upload::UploadReader;
 use crate::core::{NodeRequest, Operation};
 use bytes::Bytes;
 use futures_core::Stream;
--- a/src/node/tests/mod.rs
+++ b/src/node/tests/mod.rs
@@ -48,6 +48,10 @@
     fn is_connected(&self) -> bool {
         (self.is_connected.borrow_mut())()
     }
+
+    fn has_nothing_unread(&self) -> bool {
+        self.is_connected()
+    }
 }
 
 /// Runs a test's future on a single-threaded runtime.
--- a/src/node/tests/send_guard.rs
+++ b/src/node/tests/send_guard.rs
@@ -132,6 +132,7 @@
                 }),
                 shutdown_deadline: shutdown_deadline.clone(),
                 client: Some(Rc::new(ScriptedClient::new(move || client_state.get()))),
+                upload: None,
                 written: Cell::default(),
             });
             let apply_change = || match change {
--- a/src/resources/memory.rs
+++ b/src/resources/memory.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use thiserror::Error;
+use tokio::sync::{Mutex, Notify};
 use tokio::time::{Instant, timeout_at};
 
 /// Memory that is not for bodies: the program, the scheduler, connections and their buffers.
@@ -45,10 +46,69 @@
     pub min_bytes: usize,
 }
 
+/// Bytes that bodies hold. Buffers share it, and may be dropped on any thread.
+#[derive(Default)]
+struct MemoryUsage {
+    bytes: AtomicUsize,
+    /// Notified when bytes are given back.
+    released: Notify,
+}
+
+impl MemoryUsage {
+    /// Adds bytes; returns how many are in use then.
+    fn add(&self, bytes: usize) -> usize {
+        self.bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+
+    fn release(&self, bytes: usize) {
+        if bytes > 0 {
+            self.bytes.fetch_sub(bytes, Ordering::Relaxed);
+            self.released.notify_one();
+        }
+    }
+
+    fn get(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
+/// A part of the memory for bodies, given back when dropped.
+pub struct MemoryReservation {
+    bytes: usize,
+    usage: Arc<MemoryUsage>,
+}
+
+impl MemoryReservation {
+    /// How many bytes it has.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Gives back all but so many bytes; no effect if it has no more.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let released = self.bytes.saturating_sub(bytes);
+        self.bytes -= released;
+        self.usage.release(released);
+    }
+
+    /// Adds another reservation of the same memory.
+    pub fn merge(&mut self, mut other: MemoryReservation) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.usage.release(self.bytes);
+    }
+}
+
 /// What bodies hold, and may hold together.
 pub struct BodyMemory {
     /// Bytes that bodies hold, shared with each of their buffers.
-    in_use: Arc<AtomicUsize>,
+    in_use: Arc<MemoryUsage>,
+    /// Held by whoever waits for memory: those who came first are served first.
+    reservation_queue: Mutex<()>,
     /// Bytes that all processes of the head may hold.
     limit: Cell<usize>,
     /// This process's share of them, 0 to 1.
@@ -58,13 +118,13 @@
 /// A body's buffer, which returns its bytes to the limit when the last owner drops it.
 struct BodyBuffer {
     bytes: BytesMut,
-    in_use: Arc<AtomicUsize>,
+    in_use: Arc<MemoryUsage>,
 }
 
 impl BodyBuffer {
     /// Adds received bytes; returns whether there is memory for more.
     fn append(&mut self, data: &[u8], limit: usize) -> bool {
-        let in_use = self.in_use.fetch_add(data.len(), Ordering::Relaxed) + data.len();
+        let in_use = self.in_use.add(data.len());
         self.bytes.extend_from_slice(data);
         in_use < limit
     }
@@ -83,14 +143,19 @@
 
 impl Drop for BodyBuffer {
     fn drop(&mut self) {
-        self.in_use.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+        self.in_use.release(self.bytes.len());
     }
 }
 
 impl BodyMemory {
     /// The memory for bodies on a machine with so many MB.
     pub fn new(memory_mb: usize) -> Rc<BodyMemory> {
-        let memory = BodyMemory { in_use: Arc::default(), limit: Cell::new(0), share: Cell::new(1.0) };
+        let memory = BodyMemory {
+            in_use: Arc::default(),
+            reservation_queue: Mutex::new(()),
+            limit: Cell::new(0),
+            share: Cell::new(1.0),
+        };
         memory.set_limit(memory_mb);
         Rc::new(memory)
     }
@@ -111,7 +176,43 @@
     /// The part of this process's limit that is in use; 1 where all of it is.
     pub fn used_fraction(&self) -> f64 {
         let limit = self.limit.get() as f64 * self.share.get();
-        self.in_use.load(Ordering::Relaxed) as f64 / limit.max(1.0)
+        self.in_use.get() as f64 / limit.max(1.0)
+    }
+
+    /// This process's part of the limit, in bytes.
+    fn limit_bytes(&self) -> usize {
+        (self.limit.get() as f64 * self.share.get()) as usize
+    }
+
+    /// Reserves so many bytes, or half of the limit if that is less: one body never takes all. Waits until they are free;
+    /// those who came first are served first.
+    pub async fn reserve(&self, bytes: usize) -> MemoryReservation {
+        let _turn = self.reservation_queue.lock().await;
+        loop {
+            if let Some(reservation) = self.try_reserve(bytes) {
+                return reservation;
+            }
+            self.in_use.released.notified().await;
+        }
+    }
+
+    /// The same without a wait; `None` if they are not free. Those who wait are passed over.
+    pub fn try_reserve(&self, bytes: usize) -> Option<MemoryReservation> {
+        let limit = self.limit_bytes();
+        self.reserve_within(bytes.min(limit / 2), limit)
+    }
+
+    /// The same for work that can do without: half of the limit is left to others.
+    pub fn try_reserve_spare(&self, bytes: usize) -> Option<MemoryReservation> {
+        self.reserve_within(bytes, self.limit_bytes() / 2)
+    }
+
+    fn reserve_within(&self, bytes: usize, limit: usize) -> Option<MemoryReservation> {
+        if self.in_use.get() + bytes > limit {
+            return None;
+        }
+        self.in_use.add(bytes);
+        Some(MemoryReservation { bytes, usage: self.in_use.clone() })
     }
 
     /// Receives a body: all of it, or as much as there is memory for, or slightly more than `max_bytes`, or
@@ -127,7 +228,7 @@
         max_bytes: usize,
         partial: Option<PartialBody>,
     ) -> Result<GatheredBody, BodyError<B::Error>> {
-        let limit = (self.limit.get() as f64 * self.share.get()) as usize;
+        let limit = self.limit_bytes();
         if body.size_hint().lower() > MAX_BODY_BYTES {
             return Err(BodyError::TooLong);
         }
--- a/tests/races_core.rs
+++ b/tests/races_core.rs
@@ -298,6 +298,10 @@
     fn is_connected(&self) -> bool {
         self.is_connected.get()
     }
+
+    fn has_nothing_unread(&self) -> bool {
+        self.is_connected.get()
+    }
 }
 
 fn settings() -> SchedulerSettings {
