--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod frames;
 pub mod initiator;
+pub mod recorder;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -60,7 +61,7 @@
 }
 
 /// A chunked body; extensions and trailers are left out.
-fn chunks(from: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+fn chunks(from: &mut impl BufRead) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     loop {
         let mut line = String::new();
--- a/tests/standing_terms_close.rs
+++ b/tests/standing_terms_close.rs
@@ -4,10 +4,10 @@
 
 mod peers;
 
+use peers::recorder::Recorder;
 use peers::*;
-use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -28,69 +28,6 @@
 /// Rounds after which a case ends in any event.
 const MOST_ROUNDS: usize = 60;
 
-/// A node that notes when each attempt's first line reached it, by the request's id.
-#[derive(Clone)]
-struct Recorder {
-    address: SocketAddr,
-    attempts: Arc<Mutex<HashMap<String, Vec<Instant>>>>,
-}
-
-impl Recorder {
-    fn start() -> Recorder {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let recorder = Recorder { address, attempts: Arc::default() };
-        let shared = recorder.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let recorder = shared.clone();
-                thread::spawn(move || while recorder.answer(&stream).is_some() {});
-            }
-        });
-        recorder
-    }
-
-    /// Answers one request: at once, after a while (`slow`), or as not processed the first time (`again`).
-    fn answer(&self, mut stream: &TcpStream) -> Option<()> {
-        let mut from = BufReader::new(stream);
-        let mut first = String::new();
-        from.read_line(&mut first).ok().filter(|count| *count > 0)?;
-        let came = Instant::now();
-        let (mut id, mut length) = (String::new(), 0);
-        loop {
-            let mut line = String::new();
-            from.read_line(&mut line).ok().filter(|count| *count > 0)?;
-            match line.trim_end().split_once(':') {
-                Some((name, value)) if name.eq_ignore_ascii_case("x-correlation-id") => {
-                    id = value.trim().into()
-                }
-                Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
-                    length = value.trim().parse().ok()?;
-                }
-                Some(_) => {}
-                None => break,
-            }
-        }
-        let number = {
-            let mut attempts = self.attempts.lock().expect("attempts");
-            let attempts = attempts.entry(id).or_default();
-            attempts.push(came);
-            attempts.len()
-        };
-        from.read_exact(&mut vec![0; length]).ok()?;
-        if first.contains("?slow") {
-            thread::sleep(EARLY + WINDOW / 2);
-        }
-        let answer = if first.contains("?again") && number == 1 {
-            thread::sleep(EARLY);
-            "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
-        } else {
-            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-        };
-        stream.write_all(answer.as_bytes()).ok()
-    }
-}
-
 /// Notes when this process's threads were not run, so that a machine's stall is not taken for the head's.
 struct Ticker {
     over: Arc<AtomicBool>,
@@ -160,7 +97,7 @@
 
 impl Bench {
     fn start(edit: impl Fn(String) -> String) -> Bench {
-        let recorder = Recorder::start();
+        let recorder = Recorder::start(EARLY + WINDOW / 2, EARLY);
         let discovery = Discovery::start(&[entry("s-0", recorder.address, 0, "ready")]);
         let head = Head::start_text(&edit(config(&discovery, 1024, "null")), None, &[]);
         Bench { recorder, discovery, head, ticker: Ticker::start(), next_shard: AtomicU32::new(10) }
