Tests hold the ports that they take for closed, and wait for the lines that they expect

Cause: without_discovery_the_known_list_serves_... took a port for closed that it had bound and closed; another stand-in got it.

Change: ClosedPort holds its port bound without listening, and can listen on it later without letting go; relays' tests use addresses of the loopback range of their own. Head::sync_log waits until all that was logged is here; Head::ended until the log's end. No bound changed.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The stories' peers: scripted bricks, discovery, HTTP clients and initiators, round a real head process.
 #![allow(dead_code)]
 
+pub mod closed_port;
 pub mod frames;
 pub mod initiator;
 pub mod recorder;
@@ -391,6 +392,8 @@
     pub block: Option<SocketAddr>,
     pub ops: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
+    /// Reads the log to its end.
+    log_reader: Option<thread::JoinHandle<()>>,
     pub folder: std::path::PathBuf,
 }
 
@@ -453,11 +456,12 @@
         let from = BufReader::new(child.stderr.take().expect("piped"));
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let lines = log.clone();
-        thread::spawn(move || {
+        let log_reader = thread::spawn(move || {
             from.lines().map_while(Result::ok).for_each(|l| lines.lock().expect("log").push(l))
         });
+        let log_reader = Some(log_reader);
         let nowhere = ([127, 0, 0, 1], 0).into();
-        let mut head = Head { child, http: nowhere, block: None, ops: nowhere, log, folder };
+        let mut head = Head { child, http: nowhere, block: None, ops: nowhere, log, log_reader, folder };
         head.ops = head.address("ops: listening on ");
         head.http = head.address("http: listening on ");
         head.block = block.map(|_| head.address("block: listening on "));
@@ -484,6 +488,14 @@
         self.log.lock().expect("log").iter().find(|line| line.contains(text)).cloned()
     }
 
+    /// Waits until all lines are here that it has logged so far.
+    pub fn sync_log(&self) {
+        let counted = || self.log().iter().filter(|line| line.contains("counters: ")).count();
+        let before = counted();
+        self.signal("-USR1");
+        wait(|| (counted() > before).then_some(()));
+    }
+
     /// One of the head's counters.
     pub fn counter(&self, name: &str) -> u64 {
         let body = String::from_utf8(get(self.http, "/-/counters").body).expect("text");
@@ -500,9 +512,13 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
-    /// Waits for its end; whether it was clean.
+    /// Waits for its end and the end of its log; whether it was clean.
     pub fn ended(&mut self) -> bool {
-        wait(|| self.child.try_wait().expect("a child")).success()
+        let is_clean = wait(|| self.child.try_wait().expect("a child")).success();
+        if let Some(log_reader) = self.log_reader.take() {
+            log_reader.join().expect("the log's end");
+        }
+        is_clean
     }
 }
 
@@ -634,15 +650,14 @@
 
 impl Agent {
     pub fn start(script: impl Fn(usize, &str) -> Vec<Say> + Send + Sync + 'static) -> Agent {
-        Agent::start_at(([127, 0, 0, 1], 0).into(), script)
+        Agent::start_on(TcpListener::bind("127.0.0.1:0").expect("a port"), script)
     }
 
-    /// The same at an address.
-    pub fn start_at(
-        address: SocketAddr,
+    /// The same on a listener.
+    pub fn start_on(
+        listener: TcpListener,
         script: impl Fn(usize, &str) -> Vec<Say> + Send + Sync + 'static,
     ) -> Agent {
-        let listener = wait(|| TcpListener::bind(address).ok());
         let address = listener.local_addr().expect("an address");
         let (asked, script) = (Arc::new(Mutex::new(Vec::new())), Arc::new(script));
         let calls = asked.clone();
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -2,12 +2,13 @@
 //! bounds.
 
 mod peers;
+use peers::closed_port::ClosedPort;
 use peers::*;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -125,9 +126,13 @@
     TempFile::new(&format!("[distribution]\nregion = \"r1\"\nzone = \"r1-a\"\nrelays = [\n  {relays}\n]\n"))
 }
 
-/// An address without a listener.
+static UNUSED_PORTS: AtomicU16 = AtomicU16::new(20_000);
+
+/// An address without a listener: of the loopback range, and of this process alone, so that no other test gets it.
 fn unused_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let port = UNUSED_PORTS.fetch_add(1, Ordering::SeqCst);
+    ([127, 77, high, low], port).into()
 }
 
 /// A head that follows relays; its configured discovery does not exist.
@@ -363,12 +368,12 @@
 
 #[test]
 fn a_relay_that_starts_before_its_upstream_is_current_soon_after_it() {
-    let address = unused_address();
-    let relay = Relay::start("relay-1", address);
+    let port = ClosedPort::reserve();
+    let relay = Relay::start("relay-1", port.address);
     assert_eq!(get(relay.address, "/-/ready").status(), 503);
     assert_eq!(get(relay.address, "/api/targets").status(), 503);
     thread::sleep(Duration::from_millis(1500));
-    let agent = TcpListener::bind(address).expect("the port is free yet");
+    let agent = port.open();
     let since = Instant::now();
     thread::spawn(move || {
         for mut stream in agent.incoming().flatten() {
@@ -556,6 +561,7 @@
     let head = Head::start_text(&text, None, &[("FLAXGAP_OPS", file.path())]);
     head.reload(&text);
     wait(|| head.logged("daemon: reloaded"));
+    head.sync_log();
     assert!(head.logged("takes a restart").is_none());
     let other = distribution(&[("relay-1", relay.address), ("relay-2", unused_address())]);
     std::fs::copy(&other.0, &file.0).expect("written");
--- a/tests/scenarios_http2.rs
+++ b/tests/scenarios_http2.rs
@@ -187,7 +187,7 @@
     bystander.send(&read(1));
     assert_eq!(bystander.status(1), 200);
     wait(|| (head.counter("http2_turned_out") >= number as u64 - 1).then_some(()));
-    assert!(head.logged("a connection is ended: too many pings").is_some());
+    wait(|| head.logged("a connection is ended: too many pings"));
     wait(|| settled(&head).then_some(()));
 }
 
--- a/tests/scenarios_ops.rs
+++ b/tests/scenarios_ops.rs
@@ -95,7 +95,7 @@
         assert_eq!(read_status(&head), 200);
     }
     assert_eq!(head.counter("plugin_failures"), 10, "and then it is switched off");
-    assert!(head.logged("switched off").is_some());
+    wait(|| head.logged("switched off"));
     for path in [script, greedy] {
         std::fs::remove_file(path).expect("removed");
     }
--- a/tests/standing_terms_start.rs
+++ b/tests/standing_terms_start.rs
@@ -4,6 +4,7 @@
 
 mod peers;
 
+use peers::closed_port::ClosedPort;
 use peers::*;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -174,9 +175,11 @@
 const SLOW: Duration = Duration::from_millis(800);
 const BACK: Duration = Duration::from_secs(2);
 
-/// Where discovery answers, as it is at the start. What it gives is held open until dropped.
-fn discovery_at_start(how: AtStart, whole: String) -> (SocketAddr, Option<TcpListener>) {
-    let free = || TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+/// What a discovery that does not answer has of its port; held until the head is ready.
+type HeldPort = Option<Box<dyn std::any::Any>>;
+
+/// Where discovery answers, as it is at the start.
+fn discovery_at_start(how: AtStart, whole: String) -> (SocketAddr, HeldPort) {
     match how {
         AtStart::Slow => {
             let agent = Agent::start(move |_, _| vec![Say::Pause(SLOW), Say::Line(whole.clone())]);
@@ -184,14 +187,18 @@
         }
         AtStart::Silent => {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-            (listener.local_addr().expect("an address"), Some(listener))
+            (listener.local_addr().expect("an address"), Some(Box::new(listener)))
+        }
+        AtStart::Refuses => {
+            let port = ClosedPort::reserve();
+            (port.address, Some(Box::new(port)))
         }
-        AtStart::Refuses => (free(), None),
         AtStart::RefusesAtFirst => {
-            let address = free();
+            let port = ClosedPort::reserve();
+            let address = port.address;
             thread::spawn(move || {
                 thread::sleep(BACK);
-                Agent::start_at(address, move |_, _| vec![Say::Line(whole.clone())]);
+                Agent::start_on(port.open(), move |_, _| vec![Say::Line(whole.clone())]);
             });
             (address, None)
         }
