list_changes counts changes; a list of a call that was given up is none; lines for traces

Cause: when a watch delivers, the calls before it are cancelled. The list of such a call that was already read (the second call for the complete list at a slow start) was applied all the same, as a watch's, since the watch's empty list had replaced the known one; apply counted it, and any list that changes nothing, and set the list's age to zero.

Change: such a list counts only if it is newer; list_changes and the list's age go by changes. For traces: debug lines for each first byte and each list applied, times with microseconds, the longest turn of the event loop.

--- a/src/bin/flaxgap-relay/upstream.rs
+++ b/src/bin/flaxgap-relay/upstream.rs
@@ -68,7 +68,7 @@
 
     fn on_event(&self, event: WatchEvent, watcher: &mut Watcher<'_, CountedTcp<Counters>>) {
         match event {
-            WatchEvent::List { list, request } => {
+            WatchEvent::List { list, request, .. } => {
                 if request == SourceRequest::List {
                     self.relist.complete();
                 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -65,6 +65,11 @@
         Daemon { config_path, config, block_file, operators_file, state_folder, lifecycle, counters }
     }
 
+    /// The program's counters.
+    pub fn counters(&self) -> Rc<Counters> {
+        self.counters.clone()
+    }
+
     /// Runs until SIGTERM or SIGINT has been served to its end. Needs a local task set.
     ///
     /// # Errors
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -33,6 +33,7 @@
 use std::io;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::time::Instant;
 
 /// Most calls of one watcher that have delivered nothing yet. With the current watch, and twice that while discovery
 /// moves to another source, they fit into the descriptors that are reserved for discovery. The oldest call has its whole
@@ -83,6 +84,15 @@
     WatchSince(u64),
 }
 
+/// When a list was read from its connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ReceiveTimes {
+    /// Its first bytes.
+    pub first_byte: Instant,
+    /// Its last.
+    pub last_byte: Instant,
+}
+
 /// What a watcher has received or noticed.
 #[derive(Debug)]
 pub enum WatchEvent {
@@ -92,6 +102,8 @@
         list: CompactList,
         /// What the call that brought it had asked for.
         request: SourceRequest,
+        /// When it was read.
+        received: ReceiveTimes,
     },
     /// The source is alive and has nothing new.
     Heartbeat,
--- a/src/discovery/client/call.rs
+++ b/src/discovery/client/call.rs
@@ -2,7 +2,7 @@
 
 use super::connect::Connect;
 use super::response_reader::ResponseReader;
-use super::{CallError, SourceRequest};
+use super::{CallError, ReceiveTimes, SourceRequest};
 use bytes::Bytes;
 use flaxgap_membership::compact::CompactList;
 use flaxgap_membership::decoder::Fingerprint;
@@ -21,8 +21,8 @@
 pub(super) enum CallMessage {
     /// The source is alive and has nothing new.
     Heartbeat,
-    /// A list, and the fingerprint of its text.
-    List(CompactList, Fingerprint),
+    /// A list, the fingerprint of its text, and when it was read.
+    List(CompactList, Fingerprint, ReceiveTimes),
     /// The list of the known fingerprint again.
     KnownList,
     /// A snapshot of this version has begun, which is the known one. The rest was not read.
--- a/src/discovery/client/response_reader.rs
+++ b/src/discovery/client/response_reader.rs
@@ -1,7 +1,7 @@
 //! Reads the answer to a call: lists, heartbeats, and silence.
 
 use super::call::{CallMessage, CallReporter};
-use super::{CallError, SourceRequest};
+use super::{CallError, ReceiveTimes, SourceRequest};
 use crate::discovery::schedule::CallTimeouts;
 use bytes::Bytes;
 use flaxgap_membership::decoder::{DecodeError, Decoded, ListDecoder};
@@ -136,6 +136,8 @@
     /// Reports the lists that are complete by now; returns whether there was one.
     async fn report_lists(&mut self, reporter: &CallReporter) -> Result<bool, CallError> {
         let mut has_delivered = false;
+        let last_byte = Instant::now();
+        let received = ReceiveTimes { first_byte: self.list_began.unwrap_or(last_byte), last_byte };
         while let Some(decoded) = self.decoder.next_compact() {
             self.has_reported = true;
             match decoded {
@@ -150,7 +152,7 @@
                 Ok(Decoded::List(list, fingerprint)) => {
                     self.has_snapshot = list.is_snapshot;
                     has_delivered = true;
-                    reporter.send(CallMessage::List(list, fingerprint)).await;
+                    reporter.send(CallMessage::List(list, fingerprint, received)).await;
                 }
                 Err(error) => self.report_unreadable(error, reporter).await?,
             }
--- a/src/discovery/client/watcher.rs
+++ b/src/discovery/client/watcher.rs
@@ -4,7 +4,7 @@
 use super::call_set::CallSet;
 use super::connect::Connect;
 use super::response_reader::{ResponseReader, SkippableVersion};
-use super::{CallError, SourceRequest, WatchEvent};
+use super::{CallError, ReceiveTimes, SourceRequest, WatchEvent};
 use crate::discovery::schedule::{CallEnd, PollSchedule, Poller};
 use flaxgap_membership::compact::CompactList;
 use flaxgap_membership::decoder::{Fingerprint, ListDecoder};
@@ -28,8 +28,8 @@
 #[derive(Clone, Copy)]
 struct KnownList {
     fingerprint: Fingerprint,
-    /// Its version, if it was a snapshot.
-    snapshot_version: Option<u64>,
+    version: u64,
+    is_snapshot: bool,
 }
 
 /// When the source was last heard, and what was reported about it since.
@@ -177,7 +177,9 @@
                 Some(WatchEvent::Heartbeat)
             }
             CallMessage::KnownList => Some(self.on_known_list(number)),
-            CallMessage::List(list, fingerprint) => Some(self.on_list(number, list, fingerprint)),
+            CallMessage::List(list, fingerprint, received) => {
+                Some(self.on_list(number, list, fingerprint, received))
+            }
             CallMessage::SkippedSnapshot(version) => self.on_skipped_snapshot(number, version),
             CallMessage::Unreadable(error) => {
                 self.skippable.set(None);
@@ -193,16 +195,29 @@
         self.calls.on_delivered(number)
     }
 
-    fn on_list(&mut self, number: u64, list: CompactList, fingerprint: Fingerprint) -> WatchEvent {
+    /// A list was received. One that a call had already read when it was cancelled, since a later one delivered first, has
+    /// nothing to add unless it is newer.
+    fn on_list(
+        &mut self,
+        number: u64,
+        list: CompactList,
+        fingerprint: Fingerprint,
+        received: ReceiveTimes,
+    ) -> WatchEvent {
         // Calls that overlap deliver the same list.
         if self.known.is_some_and(|known| known.fingerprint == fingerprint) {
             return self.on_known_list(number);
         }
-        let snapshot_version = list.is_snapshot.then_some(list.version);
-        self.known = Some(KnownList { fingerprint, snapshot_version });
-        let request = self.on_delivered(number).unwrap_or(SourceRequest::WatchSince(0));
+        let request = match self.on_delivered(number) {
+            Some(request) => request,
+            None if self.known.is_some_and(|known| list.version <= known.version) => {
+                return WatchEvent::Heartbeat;
+            }
+            None => request_for(&list),
+        };
+        self.known = Some(KnownList { fingerprint, version: list.version, is_snapshot: list.is_snapshot });
         self.update_skippable(number);
-        WatchEvent::List { list, request }
+        WatchEvent::List { list, request, received }
     }
 
     /// The known list was received again, in full.
@@ -227,8 +242,8 @@
     /// watches are not renewed, each answer is the only one and has to be read.
     fn update_skippable(&mut self, number: u64) {
         let may_skip = self.calls.is_current_watch(number) && self.poller.renews_watches();
-        let known_version = self.known.and_then(|known| known.snapshot_version);
-        self.skippable.set(known_version.filter(|_| may_skip));
+        let snapshot = self.known.filter(|known| known.is_snapshot && may_skip);
+        self.skippable.set(snapshot.map(|known| known.version));
     }
 
     fn on_call_ended(&mut self, number: u64, opened: bool, error: Option<CallError>) -> Option<WatchEvent> {
@@ -254,6 +269,11 @@
     }
 }
 
+/// What a call that is no longer known may have asked for, by what it brought.
+fn request_for(list: &CompactList) -> SourceRequest {
+    if list.is_snapshot { SourceRequest::List } else { SourceRequest::WatchSince(0) }
+}
+
 /// How a call's end counts for the time of the next one.
 fn call_end(opened: bool, error: Option<&CallError>) -> CallEnd {
     match error {
--- a/src/discovery/directory.rs
+++ b/src/discovery/directory.rs
@@ -37,7 +37,7 @@
     /// Becomes true with the first list of a source. A cached list doesn't count.
     has_synced: watch::Sender<bool>,
     schedule: PollSchedule,
-    /// When a list was last applied that could change something.
+    /// When a list last changed the endpoints.
     last_change: Cell<Instant>,
     /// When a source was last heard.
     last_message: Cell<Instant>,
@@ -77,6 +77,12 @@
         self.observer.replace(Some(Box::new(observer)));
     }
 
+    /// The list in force has another version and the same nodes.
+    fn notify_version(&self) {
+        self.transport.set_list_version(self.version());
+        self.notify_observer();
+    }
+
     fn notify_observer(&self) {
         if let Some(observer) = &*self.observer.borrow() {
             observer(self.version());
@@ -105,7 +111,7 @@
         self.membership.borrow().version()
     }
 
-    /// Time since a list was last applied that could change something.
+    /// Time since a list last changed the endpoints.
     pub fn list_age(&self) -> Duration {
         self.last_change.get().elapsed()
     }
@@ -216,16 +222,19 @@
         if is_empty && !is_first {
             // Only the version is new.
             self.membership.borrow_mut().apply(&list, source, now);
-            return self.notify_observer();
+            return self.notify_version();
         }
-        self.counters.list_changes.add();
-        self.last_change.set(Instant::now());
         self.report_unreadable(&list);
         let changes = self.membership.borrow_mut().apply(&list, source, now);
         let mut endpoints = Vec::new();
         for change in &changes {
             self.apply_change(change, &mut endpoints);
         }
+        self.transport.set_list_version(self.version());
+        if !changes.is_empty() {
+            self.counters.list_changes.add();
+            self.last_change.set(Instant::now());
+        }
         if is_first || !endpoints.is_empty() {
             self.dispatcher.notify(&[Event::EndpointUpdate { kind, endpoints }]);
         }
--- a/src/discovery/reflector.rs
+++ b/src/discovery/reflector.rs
@@ -1,6 +1,6 @@
 //! Follows sources of the endpoint list and applies what they send to the [`EndpointDirectory`].
 
-use crate::discovery::client::{CallError, CountedTcp, SourceRequest, WatchEvent, Watcher};
+use crate::discovery::client::{CallError, CountedTcp, ReceiveTimes, SourceRequest, WatchEvent, Watcher};
 use crate::discovery::directory::EndpointDirectory;
 use crate::discovery::relist::PendingRelist;
 use crate::metrics::counters::Counters;
@@ -110,7 +110,7 @@
     /// Applies an event to the directory, and requests what is missing after it.
     pub(super) fn apply(&mut self, event: WatchEvent) {
         match event {
-            WatchEvent::List { list, request } => self.apply_list(list, request),
+            WatchEvent::List { list, request, received } => self.apply_list(list, request, received),
             WatchEvent::Heartbeat => {}
             WatchEvent::Unreadable(error) => self.on_unreadable(&error),
             WatchEvent::WatchLost | WatchEvent::CallEnded { opened: true, error: Some(_) } => {
@@ -146,7 +146,7 @@
         self.watcher.schedule_call_soon();
     }
 
-    fn apply_list(&mut self, list: CompactList, request: SourceRequest) {
+    fn apply_list(&mut self, list: CompactList, request: SourceRequest, received: ReceiveTimes) {
         if request == SourceRequest::List {
             self.relist.complete();
         }
@@ -154,7 +154,14 @@
         if !list.is_empty() || list.version != source.version() {
             log_list(&list, request);
         }
+        let version = list.version;
         self.directory.apply(list, source, UpdateKind::Changes);
+        log::debug!(
+            "discovery: list applied, source={} version={version} first_byte={:?} ago, last_byte={:?} ago",
+            self.address,
+            received.first_byte.elapsed(),
+            received.last_byte.elapsed()
+        );
         self.watch_since = source.version();
         let is_behind = source.is_behind();
         if is_behind && !self.was_behind {
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use flaxgap::config::Config;
 use flaxgap::config::operators_file::OperatorsFile;
 use flaxgap::daemon::{Daemon, Signals};
+use flaxgap::metrics::event_loop::MeasuredTurns;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -18,7 +19,8 @@
 const STATE_FOLDER: &str = "TMPDIR";
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let filter = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(filter).format_timestamp_micros().init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
@@ -33,7 +35,8 @@
     let local = tokio::task::LocalSet::new();
     let signals = local.block_on(&runtime, async { Signals::install() })?;
     let daemon = configure()?;
-    local.block_on(&runtime, daemon.run(signals))?;
+    let counters = daemon.counters();
+    runtime.block_on(MeasuredTurns::new(local.run_until(daemon.run(signals)), counters))?;
     Ok(())
 }
 
--- a/src/metrics/counters.rs
+++ b/src/metrics/counters.rs
@@ -3,13 +3,14 @@
 //! They are the one source for the admin server, the exporters, the log and the exit. The fields of [`Counters`] have
 //! the names under which operators see the counters, which stay the same for as long as there are dashboards of them.
 
+use crate::metrics::event_loop::LongestTurn;
 use crate::scheduler::{AttemptOutcome, ClassId};
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
 
 /// Exported names of the gauges; all others are counters.
-const GAUGES: [&str; 4] = ["in_flight", "level", "halls_reduced", "levels_pinned"];
+const GAUGES: [&str; 5] = ["in_flight", "level", "halls_reduced", "levels_pinned", "longest_turn_us"];
 /// Counters that the exposition shows by class, and not in all.
 const OUTCOME_COUNTERS: [&str; 3] = ["served", "refused", "failed"];
 
@@ -86,6 +87,8 @@
             $($(#[$doc])* pub $name: Counter,)*
             in_flight: Cell<u64>,
             shedding: Cell<SheddingGauges>,
+            /// The longest turn of the event loop of late.
+            pub longest_turn: LongestTurn,
             classes: Vec<ClassCounters>,
         }
 
@@ -99,6 +102,7 @@
                     ("level", shedding.head_level),
                     ("halls_reduced", shedding.reduced_zones),
                     ("levels_pinned", shedding.overrides),
+                    ("longest_turn_us", self.longest_turn.get().as_micros() as u64),
                 ]
             }
         }
@@ -205,7 +209,7 @@
     plugin_failures,
     /// Idle connections closed to free descriptors.
     reclaimed,
-    /// Changes of the endpoint list that were applied.
+    /// Lists that changed the endpoints.
     list_changes,
     /// Watches on the endpoint list that ended.
     watches_lost,
@@ -217,6 +221,8 @@
     discovery_bytes_received,
     /// Bytes written to discovery connections.
     discovery_bytes_sent,
+    /// Turns of the event loop that took 50 ms or more.
+    long_turns,
     /// Reloads of the configuration that were applied.
     reloads_ok,
     /// Reloads of the configuration that failed.
--- a/src/node/addresses.rs
+++ b/src/node/addresses.rs
@@ -58,9 +58,18 @@
     }
 }
 
+/// The version of the endpoint list that the addresses are from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ListStamp {
+    pub(super) version: u64,
+    /// When it took effect here.
+    pub(super) applied_at: Instant,
+}
+
 /// The addresses of all listed nodes.
 #[derive(Debug)]
 pub(super) struct AddressTable {
+    list: ListStamp,
     records: Slab<AddressRecord>,
     /// Indices into `records`, by the hash of the node's id.
     index: HashTable<u32>,
@@ -71,6 +80,7 @@
 impl Default for AddressTable {
     fn default() -> AddressTable {
         AddressTable {
+            list: ListStamp { version: 0, applied_at: Instant::now() },
             records: Slab::default(),
             index: HashTable::default(),
             hasher: RandomState::default(),
@@ -138,6 +148,18 @@
         self.index.insert_unique(hash, index, rehash);
     }
 
+    /// Notes that a list has been applied.
+    pub(super) fn set_list_version(&mut self, version: u64) {
+        if self.list.version != version {
+            self.list = ListStamp { version, applied_at: Instant::now() };
+        }
+    }
+
+    /// The list that the addresses are from.
+    pub(super) fn list(&self) -> ListStamp {
+        self.list
+    }
+
     /// Removes a node.
     pub(super) fn remove(&mut self, node: NodeId) {
         let hash = self.hasher.hash_one(node);
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -29,7 +29,7 @@
     request: &NodeRequest,
     permit: &Rc<SendPermit>,
 ) -> AttemptResult {
-    let guard = transport.send_guard(node, permit);
+    let guard = transport.send_guard(node, request.id.clone(), permit);
     let Some(address) = guard.check(Stage::Chosen, None).ok().and(guard.address) else {
         return AttemptResult::empty(AttemptOutcome::NotSent);
     };
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -4,6 +4,7 @@
 use crate::core::{PermitExpired, SendPermit};
 use crate::metrics::counters::Counters;
 use crate::scheduler::NodeId;
+use bytes::Bytes;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -40,6 +41,8 @@
     pub(super) addresses: Rc<RefCell<AddressTable>>,
     pub(super) counters: Rc<Counters>,
     pub(super) node: NodeId,
+    /// The request's id, as the client wrote it.
+    pub(super) request_id: Bytes,
     /// The node's address when it was chosen; `None` if the node was no longer listed.
     pub(super) address: Option<SocketAddr>,
     pub(super) permit: Rc<SendPermit>,
@@ -77,6 +80,21 @@
         Err(NotSentReason::NodeUnavailable)
     }
 
+    /// Logs that the first byte goes out, and by which list that was decided.
+    pub(super) fn log_first_byte(&self) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let list = self.addresses.borrow().list();
+        log::debug!(
+            "node: first byte, request={} node={} list_version={} list_age={:?}",
+            String::from_utf8_lossy(&self.request_id),
+            self.node.0,
+            list.version,
+            list.applied_at.elapsed()
+        );
+    }
+
     /// Checks that the permit has not expired.
     pub(super) fn check_permit(&self, stage: Stage) -> Result<(), NotSentReason> {
         let Some(expired) = self.permit.expired(Instant::now()) else { return Ok(()) };
--- a/src/node/progress.rs
+++ b/src/node/progress.rs
@@ -80,7 +80,9 @@
         guard.check(Stage::FirstByte, Some(stream)).map_err(|reason| {
             self.request.set(WriteState::Refused(reason));
             refused()
-        })
+        })?;
+        guard.log_first_byte();
+        Ok(())
     }
 
     /// Notes that the HTTP library has taken the body's last bytes.
--- a/src/node/transport.rs
+++ b/src/node/transport.rs
@@ -11,6 +11,7 @@
 use crate::resources::descriptors::DescriptorBudget;
 use crate::resources::memory::BodyMemory;
 use crate::scheduler::{NodeId, NodeState};
+use bytes::Bytes;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,6 +71,11 @@
         }
     }
 
+    /// Notes the version of the list that all addresses are from by now.
+    pub fn set_list_version(&self, version: u64) {
+        self.addresses.borrow_mut().set_list_version(version);
+    }
+
     /// Removes a node that is no longer listed, and closes its idle connections.
     pub fn remove_node(&self, node: NodeId) {
         self.addresses.borrow_mut().remove(node);
@@ -82,11 +88,12 @@
     }
 
     /// The guard of an attempt at a node, with the address that the node has now.
-    pub(super) fn send_guard(&self, node: NodeId, permit: &Rc<SendPermit>) -> SendGuard {
+    pub(super) fn send_guard(&self, node: NodeId, request_id: Bytes, permit: &Rc<SendPermit>) -> SendGuard {
         SendGuard {
             addresses: self.addresses.clone(),
             counters: self.counters.clone(),
             node,
+            request_id,
             address: self.addresses.borrow().address(node),
             permit: permit.clone(),
         }
