--- a/src/discovery/client/watcher.rs
+++ b/src/discovery/client/watcher.rs
@@ -211,6 +211,7 @@
         let request = match self.on_delivered(number) {
             Some(request) => request,
             None if self.known.is_some_and(|known| list.version <= known.version) => {
+                log::debug!("discovery: list of a cancelled call is not newer, version={}", list.version);
                 return WatchEvent::Heartbeat;
             }
             None => request_for(&list),
