A long upload that its node had whole is not rejected when the node breaks off

Symptom: an upload of 400 KB that its node had read to the last byte, and whose connection the node then ended, was answered with 503, which promises no effect (attempts=0, connect_failed=1). Of 100 KB: 502, reset=1. Found while the check of uploads was traced.

Cause: the body noted that its last bytes were taken only when asked for more; the HTTP library asks no more once the length is reached. So the request never counted as written, and a break as ConnectFailed, which never ran.

Change: the request's body counts what is left and notes its last bytes as they are taken.

--- a/src/core/upload.rs
+++ b/src/core/upload.rs
@@ -51,6 +51,9 @@
 
     /// Gives back the memory that no chunk takes.
     fn release_unused(&mut self) {
+        if self.chunks.is_empty() {
+            self.reservation = None;
+        }
         if let Some(reservation) = &mut self.reservation {
             reservation.shrink_to(self.length);
         }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -26,8 +26,8 @@
 /// The body of a request to a node. It notes when the HTTP library has taken its last bytes.
 pub(super) struct RequestBody {
     source: BodySource,
-    /// Length in bytes, if known.
-    length: Option<u64>,
+    /// How many bytes the HTTP library has not taken yet, if that is known.
+    left: Option<u64>,
     progress: Rc<ExchangeProgress>,
 }
 
@@ -39,26 +39,26 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
-        let (chunk, is_last) = match &mut self.source {
-            BodySource::Buffered(bytes) => (bytes.take().map(Ok), true),
-            BodySource::Streamed(reader) => {
-                let chunk = ready!(Pin::new(reader).poll_next(cx));
-                let is_last = chunk.is_none();
-                (chunk, is_last)
-            }
+        let chunk = match &mut self.source {
+            BodySource::Buffered(bytes) => bytes.take().map(Ok),
+            BodySource::Streamed(reader) => ready!(Pin::new(reader).poll_next(cx)),
         };
-        if is_last {
+        if let Some(Ok(bytes)) = &chunk {
+            self.left = self.left.map(|left| left.saturating_sub(bytes.len() as u64));
+        }
+        // The library does not ask for more than the length, so the last bytes may be followed by no end.
+        if chunk.is_none() || self.left == Some(0) {
             self.progress.body_taken();
         }
         Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.source, BodySource::Buffered(None))
+        self.left == Some(0)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.length.map_or_else(SizeHint::default, SizeHint::with_exact)
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
@@ -95,12 +95,12 @@
 
 /// The body of a request; `None` if an earlier attempt has taken it.
 fn body(payload: &Payload, progress: &Rc<ExchangeProgress>) -> Option<RequestBody> {
-    let (source, length) = match payload {
+    let (source, left) = match payload {
         Payload::Buffered(bytes) => {
             let source = BodySource::Buffered(Some(bytes.clone()).filter(|bytes| !bytes.is_empty()));
             (source, Some(bytes.len() as u64))
         }
         Payload::Streamed(upload) => (BodySource::Streamed(upload.take()?), upload.length),
     };
-    Some(RequestBody { source, length, progress: progress.clone() })
+    Some(RequestBody { source, left, progress: progress.clone() })
 }
--- a/src/resources/memory.rs
+++ b/src/resources/memory.rs
@@ -6,7 +6,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use thiserror::Error;
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{Instant, timeout_at};
@@ -46,10 +46,16 @@
     pub min_bytes: usize,
 }
 
+/// Part of the limit that one reservation at a time may take beyond it, as a divisor. Bodies that wait for their turn may
+/// hold all of the memory; without this, none of them would ever have its turn. The limit leaves as much again free.
+const OVERDRAFT_DIVISOR: usize = 4;
+
 /// Bytes that bodies hold. Buffers share it, and may be dropped on any thread.
 #[derive(Default)]
 struct MemoryUsage {
     bytes: AtomicUsize,
+    /// A reservation beyond the limit is held.
+    is_overdrawn: AtomicBool,
     /// Notified when bytes are given back.
     released: Notify,
 }
@@ -75,6 +81,8 @@
 /// A part of the memory for bodies, given back when dropped.
 pub struct MemoryReservation {
     bytes: usize,
+    /// It is the one beyond the limit.
+    is_overdraft: bool,
     usage: Arc<MemoryUsage>,
 }
 
@@ -94,11 +102,16 @@
     /// Adds another reservation of the same memory.
     pub fn merge(&mut self, mut other: MemoryReservation) {
         self.bytes += std::mem::take(&mut other.bytes);
+        self.is_overdraft |= std::mem::take(&mut other.is_overdraft);
     }
 }
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
+        if self.is_overdraft {
+            self.usage.is_overdrawn.store(false, Ordering::Relaxed);
+            self.usage.released.notify_one();
+        }
         self.usage.release(self.bytes);
     }
 }
@@ -185,11 +198,11 @@
     }
 
     /// Reserves so many bytes, or half of the limit if that is less: one body never takes all. Waits until they are free;
-    /// those who came first are served first.
+    /// those who came first are served first. One reservation at a time may be beyond the limit instead, of a quarter of it.
     pub async fn reserve(&self, bytes: usize) -> MemoryReservation {
         let _turn = self.reservation_queue.lock().await;
         loop {
-            if let Some(reservation) = self.try_reserve(bytes) {
+            if let Some(reservation) = self.try_reserve(bytes).or_else(|| self.overdraw(bytes)) {
                 return reservation;
             }
             self.in_use.released.notified().await;
@@ -211,8 +224,20 @@
         if self.in_use.get() + bytes > limit {
             return None;
         }
+        Some(self.reservation(bytes, false))
+    }
+
+    /// Reserves beyond the limit, unless such a reservation is held.
+    fn overdraw(&self, bytes: usize) -> Option<MemoryReservation> {
+        if self.in_use.is_overdrawn.swap(true, Ordering::Relaxed) {
+            return None;
+        }
+        Some(self.reservation(bytes.min(self.limit_bytes() / OVERDRAFT_DIVISOR), true))
+    }
+
+    fn reservation(&self, bytes: usize, is_overdraft: bool) -> MemoryReservation {
         self.in_use.add(bytes);
-        Some(MemoryReservation { bytes, usage: self.in_use.clone() })
+        MemoryReservation { bytes, is_overdraft, usage: self.in_use.clone() }
     }
 
     /// Receives a body: all of it, or as much as there is memory for, or slightly more than `max_bytes`, or
--- a/src/resources/memory/tests.rs
+++ b/src/resources/memory/tests.rs
@@ -42,3 +42,40 @@
         assert_eq!((&all.bytes[..], all.is_complete), (&b"ab"[..], true), "room again");
     });
 }
+
+/// Polls a future once.
+fn poll_once<F: Future>(future: std::pin::Pin<&mut F>) -> std::task::Poll<F::Output> {
+    future.poll(&mut std::task::Context::from_waker(std::task::Waker::noop()))
+}
+
+/// Given memory that is all held, when two bodies ask for some, then one gets a quarter of the limit beyond it, and the
+/// other waits until that is given back or memory is free; what a reservation is shrunk by is free at once.
+#[test]
+fn one_reservation_goes_beyond_a_full_memory_and_the_next_waits() {
+    let memory = BodyMemory::new(0);
+    let limit = memory.limit_bytes();
+    let held = [0; 2].map(|_| memory.try_reserve(limit).expect("half of the limit"));
+    assert!(memory.try_reserve(1).is_none());
+    assert!(memory.try_reserve_spare(1).is_none());
+    let mut first = std::pin::pin!(memory.reserve(limit));
+    let std::task::Poll::Ready(mut first) = poll_once(first.as_mut()) else { panic!("it overdraws") };
+    assert_eq!(first.bytes(), limit / 4);
+    let mut second = std::pin::pin!(memory.reserve(10));
+    assert!(poll_once(second.as_mut()).is_pending());
+    first.shrink_to(5);
+    assert!(poll_once(second.as_mut()).is_pending(), "the overdraft is still held");
+    drop(first);
+    let std::task::Poll::Ready(second) = poll_once(second.as_mut()) else { panic!("it has its turn") };
+    assert_eq!(second.bytes(), 10);
+    drop((second, held));
+    assert_eq!(memory.used_fraction(), 0.0);
+}
+
+/// Given memory of which half is held, when work that can do without asks for some, then it gets none, and other work does.
+#[test]
+fn spare_memory_is_the_first_half() {
+    let memory = BodyMemory::new(0);
+    let _held = memory.try_reserve(memory.limit_bytes() / 2).expect("half");
+    assert!(memory.try_reserve_spare(1).is_none());
+    assert!(memory.try_reserve(1).is_some());
+}
