A seeded soak of the real program: faults, reloads, drains, handovers and kills at the earliest

Change: tests/soak.rs. A seed gives the whole run: nodes hang, reset and turn away, drain and return, sources are cut and stall, SIGHUP in series, SIGTERM once or twice, alone or with a newer process that takes over, SIGKILL 2.7 s later, a crowd of 150 idle clients in some. Checked: one final answer in time and made by a node, nothing rejected that may have run, no two attempts at once, nothing new to a draining node after the grace, descriptors. Clients use their connections until the kill.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -582,6 +582,22 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
+    /// The same for one that may have ended.
+    pub fn try_signal(&self, name: &str) {
+        let _ =
+            Command::new("kill").args([name, &self.child.id().to_string()]).stderr(Stdio::null()).status();
+    }
+
+    /// Waits for its end, however it came.
+    pub fn wait_end(&mut self) {
+        wait(|| self.child.try_wait().expect("a child"));
+    }
+
+    /// How many descriptors it has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// Waits for its end and the end of its log; whether it was clean.
     pub fn ended(&mut self) -> bool {
         let is_clean = wait(|| self.child.try_wait().expect("a child")).success();
@@ -629,6 +645,19 @@
         Client { from: BufReader::new(stream.try_clone().expect("a handle")), stream }
     }
 
+    /// The same; none if the head does not listen.
+    pub fn try_new(address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Client { from: BufReader::new(stream.try_clone().ok()?), stream })
+    }
+
+    /// Sends a head and a body; whether the system took them.
+    pub fn try_send_all(&mut self, head: &str, body: &[u8]) -> bool {
+        self.stream.write_all(&[head.as_bytes(), body].concat()).is_ok()
+    }
+
     /// One whose system takes a few KiB of an answer until it is read.
     pub fn with_little_room(address: SocketAddr) -> Client {
         let socket =
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,475 @@
+//! A soak of the real program: one seed gives the whole run, that is, which node hangs, resets or drains when, when sources
+//! fall silent and the head moves between them (SIGHUP in series), whether there is a crowd of idle clients, and how the head
+//! ends (SIGTERM once or twice, alone or with a newer process that takes over), with SIGKILL at the earliest that the platform's
+//! page allows. Clients go on using open connections until then.
+//!
+//! Checked on the wire: each request has one final answer in time, made by a node if it is served; what is rejected never
+//! ran; no two attempts of one request are at nodes at once; a draining node gets nothing new after the grace; descriptors
+//! are given back. `FLAXGAP_SOAK_SEEDS=FROM..TO` plays other seeds than those of CI. A broken rule is printed with its seed and the head's log.
+
+mod peers;
+
+use peers::timing::{Hindrance, StampedStream, stamp_arrivals};
+use peers::*;
+use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Seeds of CI: 1 to this.
+const CI_SEEDS: u64 = 12;
+/// Runs at a time.
+const RUNS_AT_ONCE: usize = 4;
+/// The longest deadline of the settings, which all requests have.
+const DEADLINE: Duration = Duration::from_secs(2);
+/// What a final answer may take beyond its deadline (the page's slack, and this process's threads).
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// From SIGTERM to SIGKILL at the earliest: the longest deadline and 0.7 s.
+const KILL_AFTER: Duration = Duration::from_millis(2700);
+/// What comes later than this after SIGTERM need not be answered.
+const TAKEN_AFTER_TERM: Duration = Duration::from_millis(700);
+/// The settings' grace for draining nodes and the platform's slack.
+const GRACE: Duration = Duration::from_millis(300);
+/// A head that is held up for longer may be late.
+const HELD_UP: Duration = Duration::from_millis(150);
+/// Clients that send without a pause, and idle ones of a crowd.
+const CLIENTS: usize = 6;
+const CROWD: usize = 150;
+/// How long the faults go on before the head is told to end.
+const FAULTS_FOR: Duration = Duration::from_millis(3500);
+
+/// Numbers from a seed (splitmix64).
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.0 ^ self.0 >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ mixed >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ mixed >> 31
+    }
+
+    fn below(&mut self, most: u64) -> u64 {
+        self.next() % most
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+
+    fn millis(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_millis(from + self.below(to - from))
+    }
+}
+
+/// What a node does with requests at present.
+const SERVES: u8 = 0;
+const HANGS: u8 = 1;
+const RESETS: u8 = 2;
+const TURNS_AWAY: u8 = 3;
+
+/// An attempt that a node had whole.
+struct Attempt {
+    /// Its connection while it is out.
+    stream: Option<TcpStream>,
+    /// It was turned away without effect.
+    never_ran: bool,
+}
+
+/// What the nodes of a run have seen, by request id.
+#[derive(Default)]
+struct Ledger {
+    attempts: Mutex<HashMap<String, Vec<Attempt>>>,
+    broken: Mutex<Vec<String>>,
+}
+
+impl Ledger {
+    fn broke(&self, rule: String) {
+        self.broken.lock().expect("broken").push(rule);
+    }
+
+    /// Notes an attempt; a broken rule if an earlier one is still out. Asks the system, so that no thread's delay counts.
+    fn begin(&self, id: &str, stream: &TcpStream) -> usize {
+        let mut attempts = self.attempts.lock().expect("attempts");
+        let of_request = attempts.entry(id.into()).or_default();
+        let is_open = |stream: &TcpStream| {
+            stream.set_nonblocking(true).expect("a mode");
+            let open = stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+            stream.set_nonblocking(false).expect("a mode");
+            open
+        };
+        if of_request.iter().filter_map(|earlier| earlier.stream.as_ref()).any(is_open) {
+            self.broke(format!("two attempts of {id} at once"));
+        }
+        let stream = stream.try_clone().expect("a handle");
+        of_request.push(Attempt { stream: Some(stream), never_ran: false });
+        of_request.len() - 1
+    }
+
+    fn end(&self, id: &str, number: usize, never_ran: bool) {
+        let mut attempts = self.attempts.lock().expect("attempts");
+        let attempt = &mut attempts.get_mut(id).expect("begun")[number];
+        attempt.stream = None;
+        attempt.never_ran = never_ran;
+    }
+
+    fn may_have_run(&self, id: &str) -> bool {
+        let attempts = self.attempts.lock().expect("attempts");
+        attempts.get(id).is_some_and(|attempts| attempts.iter().any(|attempt| !attempt.never_ran))
+    }
+}
+
+/// A node whose behaviour changes.
+struct Node {
+    address: SocketAddr,
+    mode: Arc<AtomicU8>,
+    /// When requests arrived, by the system's stamp.
+    arrivals: Arc<Mutex<Vec<Duration>>>,
+}
+
+impl Node {
+    fn start(ledger: &Arc<Ledger>) -> Node {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        stamp_arrivals(&listener);
+        let address = listener.local_addr().expect("an address");
+        let node = Node { address, mode: Arc::default(), arrivals: Arc::default() };
+        let (mode, arrivals, ledger) = (node.mode.clone(), node.arrivals.clone(), ledger.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (mode, arrivals, ledger) = (mode.clone(), arrivals.clone(), ledger.clone());
+                thread::spawn(move || while Node::serve(&stream, &mode, &arrivals, &ledger).is_some() {});
+            }
+        });
+        node
+    }
+
+    /// Serves one request of a connection; none once that is over.
+    fn serve(
+        stream: &TcpStream,
+        mode: &AtomicU8,
+        arrivals: &Mutex<Vec<Duration>>,
+        ledger: &Ledger,
+    ) -> Option<()> {
+        let mut from = BufReader::new(StampedStream::new(stream.try_clone().ok()?));
+        let message = Message::read(&mut from)?;
+        arrivals.lock().expect("arrivals").push(from.get_mut().take_arrival().expect("a stamp"));
+        let id = message.header("x-correlation-id").to_string();
+        let number = ledger.begin(&id, stream);
+        let mut out = stream;
+        match mode.load(Ordering::SeqCst) {
+            HANGS => {
+                _ = from.read(&mut [0]);
+                ledger.end(&id, number, false);
+                None
+            }
+            RESETS => {
+                ledger.end(&id, number, false);
+                socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok()?;
+                _ = stream.shutdown(Shutdown::Both);
+                None
+            }
+            TURNS_AWAY => {
+                ledger.end(&id, number, true);
+                out.write_all(b"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n").ok()
+            }
+            _ => {
+                ledger.end(&id, number, false);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
+                out.write_all(head.as_bytes()).ok()
+            }
+        }
+    }
+}
+
+/// What the clients of a run share.
+struct Clients {
+    ledger: Arc<Ledger>,
+    /// Where the head listens.
+    http: SocketAddr,
+    over: AtomicBool,
+    /// When the head was told to end with no newer process beside it.
+    term_at: Mutex<Option<Instant>>,
+    answered: Mutex<usize>,
+}
+
+impl Clients {
+    /// Whether a request that was sent then may stay without an answer.
+    fn may_be_lost(&self, sent_at: Instant) -> bool {
+        let term_at = *self.term_at.lock().expect("term");
+        term_at.is_some_and(|term_at| sent_at > term_at + TAKEN_AFTER_TERM)
+    }
+
+    /// Sends requests over one connection after another until the run is over.
+    fn run(&self, mut random: Random) {
+        let mut connection: Option<Client> = None;
+        while !self.over.load(Ordering::SeqCst) {
+            let is_write = random.chance(40);
+            let (class, length) = match is_write {
+                true if random.chance(20) => ("episode-save", 300_000),
+                true => ("episode-save", 2000),
+                false => ("play-fetch", 0),
+            };
+            let request = Client::request(class, "network", 1, DEADLINE.as_secs_f64(), length)
+                .replace("shard=0", &format!("shard={}", random.below(2)));
+            let line = request.lines().find_map(|line| line.strip_prefix("X-Correlation-Id: "));
+            let id = line.expect("an id").to_string();
+            let body = vec![b'x'; length];
+            let mut ended_before = false;
+            loop {
+                let Some(mut client) = connection.take().or_else(|| Client::try_new(self.http)) else {
+                    thread::sleep(Duration::from_millis(5));
+                    break;
+                };
+                let sent_at = Instant::now();
+                let sent = client.try_send_all(&request, &body);
+                let answer = client.answer();
+                let took = sent_at.elapsed();
+                if let Some(answer) = answer {
+                    self.check(&id, is_write, &answer, took);
+                    if answer.header("connection") != "close" {
+                        connection = Some(client);
+                    }
+                    break;
+                }
+                // A resting connection may end as a request crosses; it is sent once more, on a new one.
+                if ended_before && sent && !self.may_be_lost(sent_at) && !self.over.load(Ordering::SeqCst) {
+                    self.ledger.broke(format!("{id} ended without an answer on a new connection"));
+                }
+                if ended_before || self.may_be_lost(sent_at) || self.ledger.may_have_run(&id) {
+                    if self.ledger.may_have_run(&id)
+                        && !self.may_be_lost(sent_at)
+                        && !self.over.load(Ordering::SeqCst)
+                    {
+                        self.ledger.broke(format!("{id} was sent on and has no answer"));
+                    }
+                    break;
+                }
+                ended_before = true;
+            }
+        }
+    }
+
+    fn check(&self, id: &str, is_write: bool, answer: &Message, took: Duration) {
+        *self.answered.lock().expect("answered") += 1;
+        if took > DEADLINE + ANSWER_SLACK {
+            self.ledger.broke(format!("{id} was answered after {took:?}"));
+        }
+        match answer.status() {
+            200 if answer.body != id.as_bytes() => self.ledger.broke(format!("{id} got another's answer")),
+            429 | 503 if is_write && self.ledger.may_have_run(id) => {
+                self.ledger.broke(format!("{id} was rejected and may have run"));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// One run.
+struct Run {
+    random: Random,
+    ledger: Arc<Ledger>,
+    nodes: Vec<Node>,
+    sources: [Discovery; 2],
+    /// The source that the head follows.
+    current: usize,
+    log: Vec<String>,
+}
+
+impl Run {
+    fn start(seed: u64) -> Run {
+        let ledger: Arc<Ledger> = Arc::default();
+        let nodes: Vec<Node> = (0..3).map(|_| Node::start(&ledger)).collect();
+        let entries =
+            [entry("s-0", nodes[0].address, 0, "ready"), entry("s-1", nodes[1].address, 1, "ready")];
+        let sources = [0; 2].map(|_| Discovery::start(&entries));
+        Run { random: Random(seed), ledger, nodes, sources, current: 0, log: Vec::new() }
+    }
+
+    fn note(&mut self, what: String) {
+        self.log.push(what);
+    }
+
+    /// Drains the node of shard 0, with or without another in its place, and checks that nothing new goes there.
+    fn drain(&mut self, head: &Head) {
+        let stalls = self.random.chance(40);
+        let replaced = self.random.chance(70);
+        self.note(format!("drain, stalls {stalls}, replaced {replaced}"));
+        let before = Hindrance::of(head.pid());
+        let source = self.sources[self.current].clone();
+        if stalls {
+            source.hush();
+        }
+        let mut entries = vec![entry("s-0", self.nodes[0].address, 0, "draining")];
+        if replaced {
+            entries.push(entry("s-2", self.nodes[2].address, 0, "ready"));
+        }
+        let told = source.push(&entries);
+        self.sources[1 - self.current].push(&entries);
+        thread::sleep(GRACE * 2);
+        let allowed = told.at + GRACE + source.lateness(&told);
+        let late =
+            self.nodes[0].arrivals.lock().expect("arrivals").iter().filter(|at| **at > allowed).count();
+        let held_up = Hindrance::of(head.pid()).since(&before);
+        if late > 0 && held_up <= HELD_UP {
+            self.ledger
+                .broke(format!("{late} requests to a draining node, the head was held up for {held_up:?}"));
+        }
+        let back =
+            [entry("s-0", self.nodes[0].address, 0, "ready"), entry("s-2", self.nodes[2].address, 0, "gone")];
+        for source in &self.sources {
+            source.push(&back);
+        }
+    }
+
+    /// One fault, and the end of it.
+    fn fault(&mut self, head: &Head) {
+        match self.random.below(6) {
+            0 | 1 => self.drain(head),
+            2 | 3 => {
+                let node = self.random.below(2) as usize;
+                let mode = [HANGS, RESETS, TURNS_AWAY][self.random.below(3) as usize];
+                let time = self.random.millis(50, 500);
+                self.note(format!("node {node} in mode {mode} for {time:?}"));
+                self.nodes[node].mode.store(mode, Ordering::SeqCst);
+                thread::sleep(time);
+                self.nodes[node].mode.store(SERVES, Ordering::SeqCst);
+            }
+            4 => {
+                let time = self.random.millis(50, 1200);
+                self.note(format!("the source is cut for {time:?}"));
+                self.sources[self.current].cut_off(true);
+                thread::sleep(time);
+                self.sources[self.current].cut_off(false);
+            }
+            _ => {
+                let reloads = 1 + self.random.below(3);
+                self.note(format!("{reloads} reloads"));
+                for _ in 0..reloads {
+                    self.current = 1 - self.current;
+                    head.reload(&config(&self.sources[self.current], 1024, "null"));
+                    thread::sleep(self.random.millis(1, 60));
+                }
+            }
+        }
+    }
+
+    /// Ends the older head as the platform does, and waits for its end.
+    fn end(&mut self, head: &mut Head) {
+        let twice = self.random.chance(40);
+        self.note(format!("SIGTERM, twice {twice}"));
+        let term_at = Instant::now();
+        head.signal("-TERM");
+        if twice {
+            thread::sleep(self.random.millis(1, 400));
+            head.try_signal("-TERM");
+        }
+        thread::sleep((term_at + KILL_AFTER).saturating_duration_since(Instant::now()));
+        head.try_signal("-KILL");
+        head.wait_end();
+    }
+
+    fn play(mut self) -> Result<String, String> {
+        let folder =
+            std::env::temp_dir().join(format!("flaxgap-soak-{}-{}", std::process::id(), self.random.0));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let shared = [("TMPDIR", folder.to_str().expect("a path"))];
+        let takes_over = self.random.chance(50);
+        let has_crowd = self.random.chance(30);
+        let mut head = Head::start(&self.sources[0], None, &shared);
+        let clients = Clients {
+            ledger: self.ledger.clone(),
+            http: head.http,
+            over: AtomicBool::new(false),
+            term_at: Mutex::default(),
+            answered: Mutex::default(),
+        };
+        let descriptors_before = head.descriptors();
+        let mut newer = None;
+        let mut crowd: Vec<TcpStream> = Vec::new();
+        thread::scope(|scope| {
+            for number in 0..CLIENTS {
+                let random = Random(self.random.next() ^ number as u64);
+                scope.spawn(|| clients.run(random));
+            }
+            if has_crowd {
+                crowd.extend((0..CROWD).filter_map(|_| TcpStream::connect(head.http).ok()));
+            }
+            let until = Instant::now() + FAULTS_FOR;
+            while Instant::now() < until {
+                let pause = self.random.millis(10, 200);
+                thread::sleep(pause);
+                self.fault(&head);
+            }
+            if takes_over {
+                newer = Some(Head::start(&self.sources[self.current], None, &shared));
+            } else {
+                *clients.term_at.lock().expect("term") = Some(Instant::now());
+            }
+            self.end(&mut head);
+            clients.over.store(true, Ordering::SeqCst);
+        });
+        drop(crowd);
+        if let Some(newer) = &newer {
+            self.check_descriptors(newer, descriptors_before);
+        }
+        _ = std::fs::remove_dir_all(folder);
+        let answered = *clients.answered.lock().expect("answered");
+        let about = format!(
+            "takes over {takes_over}, crowd {has_crowd}, {answered} answers; {}",
+            self.log.join("; ")
+        );
+        let broken = self.ledger.broken.lock().expect("broken").clone();
+        if broken.is_empty() && answered > 0 {
+            return Ok(about);
+        }
+        let heads = [Some(&head), newer.as_ref()].into_iter().flatten();
+        let logs: Vec<String> = heads.map(|head| head.log().join("\n")).collect();
+        Err(format!("{broken:#?}\n{about}\n{}", logs.join("\n--- newer\n")))
+    }
+
+    /// Descriptors of a head whose clients have left come back to what it began with, and a few connections to nodes.
+    fn check_descriptors(&self, head: &Head, before: usize) {
+        const OF_NODES_AND_SOURCE: usize = 20;
+        let until = Instant::now() + PATIENCE;
+        while head.descriptors() > before + OF_NODES_AND_SOURCE {
+            if Instant::now() > until {
+                self.ledger.broke(format!("{} descriptors, {before} at the start", head.descriptors()));
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("FLAXGAP_SOAK_SEEDS") else { return (1..=CI_SEEDS).collect() };
+    let (from, to) = text.split_once("..").expect("FROM..TO");
+    (from.parse().expect("a seed")..to.parse().expect("a seed")).collect()
+}
+
+#[test]
+fn no_rule_is_broken_in_a_soak() {
+    let queue = Mutex::new(seeds());
+    let failed = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..RUNS_AT_ONCE {
+            scope.spawn(|| {
+                loop {
+                    let Some(seed) = queue.lock().expect("seeds").pop() else { return };
+                    match Run::start(seed).play() {
+                        Ok(about) => println!("seed {seed}: {about}"),
+                        Err(problem) => {
+                            println!("seed {seed} FAILED: {problem}");
+                            failed.lock().expect("failed").push(seed);
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner().expect("failed");
+    assert!(failed.is_empty(), "rules were broken on seeds {failed:?}");
+}
