--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -510,7 +510,25 @@
         Head::launch_by(Command::new(env!("CARGO_BIN_EXE_flaxgap")), text, block, extra)
     }
 
-    fn launch_by(mut command: Command, text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
+    fn launch_by(command: Command, text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
+        let mut head = Head::spawn(command, text, block, extra);
+        head.find_addresses(block.is_some());
+        head
+    }
+
+    /// Starts one that may be killed before it listens.
+    pub fn spawn_only(text: &str, extra: &[(&str, &str)]) -> Head {
+        Head::spawn(Command::new(env!("CARGO_BIN_EXE_flaxgap")), text, None, extra)
+    }
+
+    /// Waits until it listens, and notes where.
+    pub fn find_addresses(&mut self, has_block: bool) {
+        self.ops = self.address("ops: listening on ");
+        self.http = self.address("http: listening on ");
+        self.block = has_block.then(|| self.address("block: listening on "));
+    }
+
+    fn spawn(mut command: Command, text: &str, block: Option<&str>, extra: &[(&str, &str)]) -> Head {
         let number = HEADS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("flaxgap-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -531,11 +549,7 @@
         });
         let log_reader = Some(log_reader);
         let nowhere = ([127, 0, 0, 1], 0).into();
-        let mut head = Head { child, http: nowhere, block: None, ops: nowhere, log, log_reader, folder };
-        head.ops = head.address("ops: listening on ");
-        head.http = head.address("http: listening on ");
-        head.block = block.map(|_| head.address("block: listening on "));
-        head
+        Head { child, http: nowhere, block: None, ops: nowhere, log, log_reader, folder }
     }
 
     /// Replaces the file of the configuration and has it read again.
