--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -331,7 +331,7 @@
             2 | 3 => {
                 let node = self.random.below(2) as usize;
                 let mode = [HANGS, RESETS, TURNS_AWAY][self.random.below(3) as usize];
-                let time = self.random.millis(50, 500);
+                let time = self.random.millis(50, 1500);
                 self.note(format!("node {node} in mode {mode} for {time:?}"));
                 self.nodes[node].mode.store(mode, Ordering::SeqCst);
                 thread::sleep(time);
