--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -26,8 +26,6 @@
     pub line: String,
     pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
-    /// When the system received its first bytes; of requests to bricks alone.
-    pub arrived: Option<WallTime>,
 }
 
 impl Message {
@@ -111,6 +109,8 @@
 pub struct Brick {
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Message>>>,
+    /// When the system received the first bytes of each request.
+    arrivals: Arc<Mutex<Vec<WallTime>>>,
     closed: Arc<AtomicU32>,
 }
 
@@ -120,7 +120,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         timing::stamp_arrivals(&listener);
         let address = listener.local_addr().expect("an address");
-        let brick = Brick { address, seen: Arc::default(), closed: Arc::default() };
+        let brick = Brick { address, seen: Arc::default(), arrivals: Arc::default(), closed: Arc::default() };
         let (script, shared) = (Arc::new(script), brick.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -134,8 +134,9 @@
     fn serve(&self, stream: TcpStream, script: &dyn Fn(usize, &Message) -> Step) {
         let mut out = stream.try_clone().expect("a handle");
         let mut from = BufReader::new(StampedStream::new(stream));
-        while let Some(mut message) = Message::read(&mut from) {
-            message.arrived = from.get_mut().take_arrival();
+        while let Some(message) = Message::read(&mut from) {
+            let arrived = from.get_mut().take_arrival().expect("the system stamps requests");
+            self.arrivals.lock().expect("arrivals").push(arrived);
             let number = {
                 let mut seen = self.seen.lock().expect("seen");
                 seen.push(message.clone());
@@ -188,6 +189,11 @@
         self.seen.lock().expect("seen").clone()
     }
 
+    /// When the system received each request.
+    pub fn arrivals(&self) -> Vec<WallTime> {
+        self.arrivals.lock().expect("arrivals").clone()
+    }
+
     /// Waits until that many requests were seen.
     pub fn wait_for(&self, count: usize) -> Vec<Message> {
         wait(|| Some(self.seen()).filter(|seen| seen.len() >= count))
--- a/tests/scenarios_leaving.rs
+++ b/tests/scenarios_leaving.rs
@@ -433,13 +433,8 @@
     fn verdict(&self, discovery: &Discovery, told: &Told, what: &str) -> Verdict {
         let held_up = Hindrance::of(self.head.pid()).since(&self.before);
         let standin_late = discovery.lateness(told);
-        let late: Vec<Duration> = self
-            .node
-            .seen()
-            .iter()
-            .map(|message| message.arrived.expect("the system stamps requests").saturating_sub(told.at))
-            .filter(|after| *after > GRACE + standin_late)
-            .collect();
+        let after = self.node.arrivals().into_iter().map(|arrived| arrived.saturating_sub(told.at));
+        let late: Vec<Duration> = after.filter(|after| *after > GRACE + standin_late).collect();
         let Some(last) = late.iter().max() else { return Verdict::Kept };
         let text = format!(
             "{what}: {} sent late, the last {last:?} after the drain; the stand-in was {standin_late:?} late, \
