--- a/crates/streams/src/graceful_shutdown.rs
+++ b/crates/streams/src/graceful_shutdown.rs
@@ -3,6 +3,10 @@
 //! accepted; then the open streams are served to their end. A connection that is still open after the grace time is
 //! closed.
 
+/// How long a connection without a stream is kept open once its descriptor is to be freed, in seconds, since a request
+/// may be in transit.
+const RECLAIMED_GRACE_S: f64 = 0.1;
+
 /// State of a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum State {
@@ -49,13 +53,23 @@
     /// When the connection opened or its last open stream ended, in seconds.
     idle_since: f64,
     cause: Option<Cause>,
+    /// Since when the connection's descriptor is to be freed, in seconds.
+    reclaimed_at: Option<f64>,
 }
 
 impl GracefulShutdown {
     /// Creates the state of a connection that opened at `now`. The connection shuts down after `idle_timeout` seconds
     /// without a stream, and is closed `grace` seconds after its first GOAWAY.
     pub fn new(idle_timeout: f64, grace: f64, now: f64) -> GracefulShutdown {
-        GracefulShutdown { state: State::Open, idle_timeout, grace, streams: 0, idle_since: now, cause: None }
+        GracefulShutdown {
+            state: State::Open,
+            idle_timeout,
+            grace,
+            streams: 0,
+            idle_since: now,
+            cause: None,
+            reclaimed_at: None,
+        }
     }
 
     /// Returns the state of the connection.
@@ -86,8 +100,12 @@
         }
     }
 
-    /// Begins the shutdown. Does nothing if it has begun before, and the first cause stays.
+    /// Begins the shutdown. If it has begun before, the first cause stays, but [`Cause::Reclaimed`] still shortens the
+    /// time until a connection without a stream is closed.
     pub fn begin(&mut self, now: f64, cause: Cause) -> Action {
+        if cause == Cause::Reclaimed {
+            self.reclaimed_at.get_or_insert(now);
+        }
         if self.state != State::Open {
             return Action::None;
         }
@@ -100,7 +118,10 @@
         match self.state {
             State::Open if self.streams == 0 => Some(self.idle_since + self.idle_timeout),
             State::Open | State::Closed => None,
-            State::Draining { until } => Some(until),
+            State::Draining { until } => match self.reclaimed_at {
+                Some(at) if self.streams == 0 => Some(until.min(at.max(self.idle_since) + RECLAIMED_GRACE_S)),
+                _ => Some(until),
+            },
         }
     }
 
--- a/crates/streams/src/graceful_shutdown/tests.rs
+++ b/crates/streams/src/graceful_shutdown/tests.rs
@@ -27,3 +27,19 @@
     assert_eq!((shutdown.poll(50.0), shutdown.cause()), (Action::SendGoaway, Some(Cause::Idle)));
     assert_eq!(shutdown.poll(54.0), Action::Close);
 }
+
+/// Guards against descriptors that stay taken for the whole grace time, and against streams that are cut off for them.
+#[test]
+fn a_reclaimed_connection_closes_soon_unless_a_stream_is_open() {
+    let mut shutdown = GracefulShutdown::new(30.0, 4.0, 0.0);
+    assert_eq!(shutdown.begin(10.0, Cause::Reclaimed), Action::SendGoaway);
+    shutdown.stream_opened();
+    assert_eq!(shutdown.poll(13.9), Action::None, "the stream was in transit");
+    shutdown.stream_closed(13.0);
+    assert_eq!(shutdown.poll(13.05), Action::None, "its last frames are being sent");
+    assert_eq!(shutdown.poll(13.1), Action::Close);
+    let mut draining = GracefulShutdown::new(30.0, 4.0, 0.0);
+    draining.begin(10.0, Cause::Drain);
+    assert_eq!(draining.begin(11.0, Cause::Reclaimed), Action::None, "GOAWAY is sent once");
+    assert_eq!(draining.poll(11.1), Action::Close);
+}
--- a/src/frontend/block/connection.rs
+++ b/src/frontend/block/connection.rs
@@ -4,10 +4,13 @@
 use super::error::SessionError;
 use super::pdu::{Codec, HEADER_LENGTH, MAX_DATA_SEGMENT, NO_TAG, Pdu, response};
 use crate::frontend::closing::SharedStream;
+use crate::resources::descriptors::{ClientSlot, TRANSIT_GRACE};
 use bytes::BytesMut;
+use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -47,8 +50,12 @@
 /// An iSCSI connection with its sequence numbers and digest settings.
 pub struct Connection {
     stream: SharedStream,
+    /// The connection's slot in the descriptor budget.
+    slot: Rc<ClientSlot>,
     codec: Codec,
     incoming: BytesMut,
+    /// When bytes were last received, or else when the connection was created.
+    last_received: Instant,
     stat_sn: u32,
     exp_cmd_sn: u32,
     max_cmd_sn: u32,
@@ -56,12 +63,14 @@
 
 impl Connection {
     /// Creates a connection in its initial state: no digests, and sequence numbers not yet set by a login.
-    pub fn new(stream: Rc<TcpStream>) -> Connection {
+    pub fn new(stream: Rc<TcpStream>, slot: Rc<ClientSlot>) -> Connection {
         let codec = Codec { header_digest: false, data_digest: false, max_data_segment: MAX_DATA_SEGMENT };
         Connection {
             stream: SharedStream(stream),
+            slot,
             codec,
             incoming: BytesMut::new(),
+            last_received: Instant::now(),
             stat_sn: 1,
             exp_cmd_sn: 0,
             max_cmd_sn: 0,
@@ -91,9 +100,35 @@
             if self.stream.read_buf(&mut self.incoming).await? == 0 {
                 return Err(SessionError::Closed);
             }
+            self.last_received = Instant::now();
+            self.slot.bytes_received();
         }
     }
 
+    /// Marks whether the connection carries a command, or a PDU of which a part has been received.
+    pub fn mark_use(&self, has_commands: bool) {
+        if has_commands {
+            self.slot.mark_in_use();
+        } else if self.incoming.is_empty() {
+            self.slot.mark_idle();
+        } else {
+            self.slot.mark_incomplete();
+        }
+    }
+
+    /// Whether bytes of a PDU have arrived that may be complete in a moment.
+    pub fn is_receiving(&self) -> bool {
+        let is_partly_received = !self.incoming.is_empty() && self.last_received.elapsed() < TRANSIT_GRACE;
+        is_partly_received || !self.has_nothing_unread()
+    }
+
+    /// Whether the socket is open with no bytes to read. Asks the system, since the runtime may not have been notified
+    /// yet.
+    fn has_nothing_unread(&self) -> bool {
+        let peeked = socket2::SockRef::from(&*self.stream.0).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Initializes CmdSN and StatSN from the first login request. Login requests are immediate, so the first command
     /// of the full feature phase has the same CmdSN.
     pub fn start_numbering(&mut self, login: &Pdu) {
--- a/src/frontend/block/error.rs
+++ b/src/frontend/block/error.rs
@@ -21,6 +21,12 @@
     /// The login was rejected with this status class and detail.
     #[error("login rejected with status {0:#06x}")]
     Login(u16),
+    /// The connection was closed to free its descriptor. `logged_in` tells whether it had a session.
+    #[error("closed, since descriptors run short")]
+    Reclaimed {
+        /// Whether the initiator had completed its login.
+        logged_in: bool,
+    },
     /// The initiator sent nothing, did not complete its login or did not read within the time limit.
     #[error("initiator timed out")]
     Timeout,
--- a/src/frontend/block/listener.rs
+++ b/src/frontend/block/listener.rs
@@ -1,13 +1,14 @@
 //! Accepts connections of iSCSI initiators and serves each in a local task.
 
+use super::error::SessionError;
 use super::session;
 use super::shared::BlockFrontend;
 use crate::core::Transport;
-use crate::frontend::closing::{self, CloseReason};
-use crate::resources::descriptors::ConnectionKind;
+use crate::frontend::closing::{self, CloseReason, ServiceEnd};
+use crate::resources::descriptors::{ClientSlot, ConnectionKind};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -16,6 +17,7 @@
     /// Accepts connections in a loop that never returns. After a failed `accept` the longest idle connection is
     /// closed, since the process may have run out of descriptors.
     pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
+        self.budget.put_in_service(ConnectionKind::Block);
         loop {
             let slot = self.budget.client_slot(ConnectionKind::Block).await;
             let stream = match self.phases.accept(&listener).await {
@@ -27,17 +29,37 @@
                     continue;
                 }
             };
-            let slot = slot.accepted();
-            slot.mark_in_use();
-            let (frontend, guard) = (self.clone(), self.phases.track_connection());
+            let slot = Rc::new(slot.accepted());
+            let frontend = self.clone();
+            let connection_guard = self.phases.track_connection();
             tokio::task::spawn_local(async move {
-                let _guards = (slot, guard);
-                let (stream, counters) = (Rc::new(stream), frontend.counters.clone());
-                if let Err(problem) = session::serve(frontend, stream.clone()).await {
-                    log::debug!("block: {problem}");
-                }
-                closing::close(&stream, CloseReason::Done, std::future::pending(), &counters).await;
+                let _connection_guard = connection_guard;
+                frontend.run_connection(stream, slot).await;
             });
         }
     }
+
+    /// Serves one connection and closes it. Its slot in the descriptor budget is held until then.
+    async fn run_connection(self: Rc<Self>, stream: TcpStream, slot: Rc<ClientSlot>) {
+        let stream = Rc::new(stream);
+        let counters = self.counters.clone();
+        let served = session::serve(self, stream.clone(), slot.clone()).await;
+        if let Err(error) = &served {
+            log::debug!("block: {error}");
+        }
+        closing::close(&stream, service_end(&served), &slot, &counters).await;
+    }
+}
+
+/// How a connection has to be closed after its service.
+fn service_end(served: &Result<(), SessionError>) -> ServiceEnd {
+    match served {
+        Err(SessionError::Reclaimed { logged_in: false }) => {
+            ServiceEnd { reason: CloseReason::NothingOwed, reclaimed: true }
+        }
+        Err(SessionError::Reclaimed { logged_in: true }) => {
+            ServiceEnd { reason: CloseReason::Done, reclaimed: true }
+        }
+        _ => ServiceEnd::not_reclaimed(CloseReason::Done),
+    }
 }
--- a/src/frontend/block/session.rs
+++ b/src/frontend/block/session.rs
@@ -13,6 +13,7 @@
 use super::registry::SessionHandle;
 use super::shared::BlockFrontend;
 use crate::core::Transport;
+use crate::resources::descriptors::ClientSlot;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,8 +22,10 @@
 use tokio::task::{Id, JoinSet};
 use tokio::time::{Instant, sleep_until, timeout};
 
-/// Time limit of the login phase.
-const LOGIN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limit of the login phase. A client that stalls has to be disconnected within 3 s.
+const LOGIN_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time limit for telling an initiator that its connection is closed because descriptors run short.
+const RECLAIM_NOTICE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Time without a received PDU after which the target sends a NOP-In ping; after the same time again without a PDU
 /// the session ends.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -31,11 +34,17 @@
 /// The asynchronous event code that requests a logout, and the seconds within which the initiator must log out.
 const LOGOUT_REQUESTED: u8 = 1;
 const LOGOUT_SECONDS: u32 = 1;
+/// The asynchronous event code that announces the end of all connections of the session, and the seconds after which the
+/// initiator may log in again (RFC 7143, section 11.9).
+const CONNECTIONS_DROPPED: u8 = 3;
+const RECONNECT_SECONDS: u32 = 2;
 
 /// An open session and its outstanding commands.
 struct Session<T> {
     frontend: Rc<BlockFrontend<T>>,
     connection: Connection,
+    /// The connection's slot in the descriptor budget.
+    slot: Rc<ClientSlot>,
     params: Params,
     tsih: u16,
     tasks: HashMap<u32, Task>,
@@ -49,19 +58,24 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the login fails, the initiator violates the protocol or times out, the connection ends or a new
-/// login replaces the session.
+/// Returns an error if the login fails, the initiator violates the protocol or times out, the connection ends or is
+/// reclaimed, or a new login replaces the session.
 pub async fn serve<T: Transport + 'static>(
     frontend: Rc<BlockFrontend<T>>,
     stream: Rc<TcpStream>,
+    slot: Rc<ClientSlot>,
 ) -> Result<(), SessionError> {
     stream.set_nodelay(true)?;
-    let mut connection = Connection::new(stream);
+    let mut connection = Connection::new(stream, slot.clone());
     let login = login::login(&mut connection, &frontend.target, |params| {
         let handle = frontend.open(params)?;
         Some((handle.tsih(), handle))
     });
-    let (params, handle) = timeout(LOGIN_TIMEOUT, login).await.map_err(|_| SessionError::Timeout)??;
+    let (params, handle) = tokio::select! {
+        biased;
+        login = timeout(LOGIN_TIMEOUT, login) => login.map_err(|_| SessionError::Timeout)??,
+        () = slot.reclaimed() => return Err(SessionError::Reclaimed { logged_in: false }),
+    };
     connection.set_window(frontend.target.queue_depth);
     frontend.counters.block_sessions.add();
     let tsih = handle.tsih();
@@ -69,6 +83,7 @@
     let mut session = Session {
         frontend,
         connection,
+        slot,
         params,
         tsih,
         tasks: HashMap::new(),
@@ -94,7 +109,9 @@
         let mut closing = self.frontend.phases.subscribe_closing();
         let mut close_at: Option<Instant> = None;
         let mut last_received = Instant::now();
+        let slot = self.slot.clone();
         loop {
+            self.connection.mark_use(!self.tasks.is_empty());
             let idle_deadline = last_received + IDLE_TIMEOUT;
             let data_deadline = self.first_data_deadline();
             let close_when_idle = close_at.filter(|_| self.tasks.is_empty());
@@ -121,6 +138,13 @@
                     last_received = Instant::now();
                     self.ping().await?;
                 }
+                () = slot.reclaimed() => {
+                    if self.tasks.is_empty() && !self.connection.is_receiving() {
+                        self.announce_reclaim().await;
+                        return Err(SessionError::Reclaimed { logged_in: true });
+                    }
+                    slot.decline_reclaim();
+                }
                 _ = closing.wait_for(|closing| *closing), if close_at.is_none() => {
                     self.ask_for_logout().await?;
                     close_at = Some(Instant::now() + SHUTDOWN_GRACE);
@@ -153,6 +177,15 @@
         self.connection.respond(event).await
     }
 
+    /// Tells the initiator that its session ends, if it reads that at once.
+    async fn announce_reclaim(&mut self) {
+        let mut event = Pdu::new(opcode::ASYNC, 0x80, NO_TAG).with_u32(40, RECONNECT_SECONDS << 16);
+        event.header[36] = CONNECTIONS_DROPPED;
+        if timeout(RECLAIM_NOTICE_TIMEOUT, self.connection.respond(event)).await.is_err() {
+            log::debug!("block: session {} is not told of its end", self.tsih);
+        }
+    }
+
     /// Handles the result of a read; returns true after a logout.
     async fn handle_read(&mut self, pdu: Result<Pdu, SessionError>) -> Result<bool, SessionError> {
         match pdu {
--- a/src/frontend/closing.rs
+++ b/src/frontend/closing.rs
@@ -4,6 +4,7 @@
 //! retries on another one.
 
 use crate::metrics::counters::Counters;
+use crate::resources::descriptors::ClientSlot;
 use std::future::Future;
 use std::io;
 use std::net::Shutdown;
@@ -18,7 +19,8 @@
 /// How long a client has to close its side after the server's. One that has received the answer does so within a round
 /// trip.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
-/// [`LINGER_TIMEOUT`] if descriptors run short: such a connection was idle, so the client has read its last answer.
+/// [`LINGER_TIMEOUT`] if descriptors run short: such a connection was idle, so the client has read its last answer, or
+/// it has been closing for as long already.
 const LINGER_TIMEOUT_DESCRIPTORS_SHORT: Duration = Duration::from_millis(20);
 /// Most bytes that are read and discarded: more than a request, few enough to bound what a flood costs.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
@@ -28,8 +30,8 @@
 /// Why a connection is closed, which decides how it is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
-    /// The client sent nothing, so no answer can be lost.
-    Unused,
+    /// The client has sent no complete request or login, so no answer can be lost.
+    NothingOwed,
     /// The last answer was sent, or the connection timed out.
     Done,
     /// An answer failed after its beginning was sent: the client must not take the end of the connection for the end of
@@ -37,14 +39,25 @@
     AnswerBroken,
 }
 
-/// Closes a connection. `descriptors_short` completes once descriptors run short, which shortens the wait for the
-/// client.
-pub async fn close(
-    stream: &TcpStream,
-    reason: CloseReason,
-    descriptors_short: impl Future<Output = ()>,
-    counters: &Counters,
-) {
+/// How the service of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceEnd {
+    /// Why the connection is closed.
+    pub reason: CloseReason,
+    /// Whether the connection had to close because descriptors ran short.
+    pub reclaimed: bool,
+}
+
+impl ServiceEnd {
+    /// The end of a connection that closes for another reason than short descriptors.
+    pub fn not_reclaimed(reason: CloseReason) -> ServiceEnd {
+        ServiceEnd { reason, reclaimed: false }
+    }
+}
+
+/// Closes a connection. Its `slot` may be reclaimed meanwhile, which shortens the wait for the client.
+pub async fn close(stream: &TcpStream, end: ServiceEnd, slot: &ClientSlot, counters: &Counters) {
+    let reason = end.reason;
     let socket = socket2::SockRef::from(stream);
     if reason == CloseReason::AnswerBroken {
         counters.broken_off.add();
@@ -55,9 +68,15 @@
         return;
     }
     let is_reset_by_client = socket.shutdown(Shutdown::Write).is_err();
-    if is_reset_by_client || reason == CloseReason::Unused {
+    if is_reset_by_client || reason == CloseReason::NothingOwed {
         return;
     }
+    slot.mark_idle();
+    let descriptors_short = async {
+        if !end.reclaimed {
+            slot.reclaimed().await;
+        }
+    };
     let discarded_bytes = discard_until_end(stream, descriptors_short).await;
     if discarded_bytes > 0 {
         counters.lingered.add();
@@ -70,7 +89,8 @@
 async fn discard_until_end(stream: &TcpStream, descriptors_short: impl Future<Output = ()>) -> usize {
     let mut descriptors_short = pin!(descriptors_short);
     let mut are_short = false;
-    let mut discard_until = Instant::now() + LINGER_TIMEOUT;
+    let lingers_since = Instant::now();
+    let mut discard_until = lingers_since + LINGER_TIMEOUT;
     let mut discarded_bytes = 0;
     let mut buffer = [0; READ_BYTES];
     while discarded_bytes < MAX_DISCARDED_BYTES {
@@ -78,7 +98,7 @@
             biased;
             () = descriptors_short.as_mut(), if !are_short => {
                 are_short = true;
-                discard_until = discard_until.min(Instant::now() + LINGER_TIMEOUT_DESCRIPTORS_SHORT);
+                discard_until = lingers_since + LINGER_TIMEOUT_DESCRIPTORS_SHORT;
             }
             () = sleep_until(discard_until) => break,
             ready = stream.readable() => match ready.and_then(|()| stream.try_read(&mut buffer)) {
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -1,7 +1,7 @@
 //! The HTTP/1.1 frontend: a tower service on hyper, with a task for each connection.
 
 use crate::core::{Client, Transport};
-use crate::frontend::closing::{self, CloseReason};
+use crate::frontend::closing::{self, CloseReason, ServiceEnd};
 use crate::frontend::intake::{ConnectionState, MAX_HEAD_BYTES, MAX_HEAD_FIELDS, RequestReader};
 use crate::frontend::request::{FrontendContext, ResponseBody};
 use crate::resources::descriptors::{AcceptSlot, ClientSlot, ConnectionKind};
@@ -23,6 +23,9 @@
 
 /// Pause after `accept` failed, during which descriptors may be freed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// The response to a client that stopped in the middle of a request head, when descriptors run short.
+const HEAD_INCOMPLETE_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// How long after its acceptance a connection is kept open for its first request while the program shuts down.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
 /// Interval at which a connection is checked for a disconnected client while a request is served whose body is not read
@@ -93,33 +96,27 @@
         let body_grace = self.state.body_grace();
         let framing_ambiguous = self.state.service_began();
         Box::pin(async move {
-            service.slot.mark_in_use();
             let client: Rc<dyn Client> = service.state.clone();
-            let answer =
-                service.frontend.context.answer(request, body_grace, framing_ambiguous, Some(client));
-            let mut response = answer.await;
+            let context = &service.frontend.context;
+            let mut response = tokio::select! {
+                biased;
+                response = context.answer(request, body_grace, framing_ambiguous, Some(client)) => response,
+                () = service.state.body_rejected() => context.reject_slow_body(),
+            };
+            service.state.answer_begun();
             if service.announces_close() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            response.body_mut().on_end(move || {
-                service.state.answer_ended();
-                service.slot.mark_idle();
-            });
+            response.body_mut().on_end(move || service.state.answer_ended());
             Ok(response)
         })
     }
 }
 
-/// How the service of a connection ended.
-struct ServiceEnd {
-    reason: CloseReason,
-    /// Whether the connection had to close because descriptors ran short.
-    descriptors_short: bool,
-}
-
 impl<T: Transport + 'static> HttpFrontend<T> {
     /// Accepts clients for as long as it is polled.
     pub async fn listen(self: Rc<Self>, listener: &TcpListener) {
+        self.context.budget.put_in_service(ConnectionKind::Http);
         loop {
             let slot = self.context.budget.client_slot(ConnectionKind::Http).await;
             match self.context.phases.accept(listener).await {
@@ -143,7 +140,7 @@
         }
         let stream = Rc::new(stream);
         let slot = Rc::new(slot.accepted());
-        let state = ConnectionState::new(stream.clone(), self.context.counters.clone());
+        let state = ConnectionState::new(stream.clone(), slot.clone(), self.context.counters.clone());
         let connection_guard = self.context.phases.track_connection();
         let service = ConnectionService { frontend: self.clone(), slot, state };
         tokio::task::spawn_local(async move {
@@ -157,12 +154,7 @@
     /// Serves the connection and closes it. Its slot in the descriptor budget is held until then.
     async fn run(self, stream: &TcpStream) {
         let end = self.serve(stream).await;
-        let descriptors_short = async {
-            if !end.descriptors_short {
-                self.slot.reclaimed().await;
-            }
-        };
-        closing::close(stream, end.reason, descriptors_short, &self.frontend.context.counters).await;
+        closing::close(stream, end, &self.slot, &self.frontend.context.counters).await;
     }
 
     /// Reads requests and answers them until the connection has to close, which is decided here alone. A connection
@@ -179,11 +171,15 @@
         let mut timeout = pin!(sleep_until(state.timeout_at().unwrap_or(opened_at)));
         let mut client_check = pin!(sleep_until(opened_at));
         let mut checks_client = false;
-        let mut descriptors_short = false;
+        let mut reclaimed = false;
+        let mut body_rejected = false;
         let mut shutdown_begun = false;
         let reason = loop {
             if state.is_close_requested() && state.is_idle() && state.has_nothing_unread() {
-                break if state.is_unused() { CloseReason::Unused } else { CloseReason::Done };
+                break if state.is_unused() { CloseReason::NothingOwed } else { CloseReason::Done };
+            }
+            if reclaimed && !state.is_idle() {
+                state.decline_reclaim();
             }
             if checks_client != state.is_receiving_body() {
                 checks_client = !checks_client;
@@ -192,9 +188,18 @@
             tokio::select! {
                 biased;
                 result = connection.as_mut() => break self.library_ended(result, stream),
-                () = self.slot.reclaimed(), if !descriptors_short => {
-                    descriptors_short = true;
+                () = self.slot.reclaimed() => {
+                    reclaimed = true;
                     state.request_close();
+                    if state.is_stalled_in_head() {
+                        let written = stream.try_write(HEAD_INCOMPLETE_RESPONSE);
+                        log::debug!("http: a client stopped in a head, result={written:?}");
+                        break CloseReason::NothingOwed;
+                    }
+                    if state.is_stalled_in_body() {
+                        body_rejected = true;
+                        state.reject_body();
+                    }
                 }
                 () = shutdown.as_mut(), if !shutdown_begun => {
                     shutdown_begun = true;
@@ -219,7 +224,11 @@
                 }
             }
         };
-        ServiceEnd { reason, descriptors_short }
+        match reason {
+            // The client has read its answer or will read it with the end of the connection: all that it sent is read.
+            CloseReason::Done if body_rejected => ServiceEnd { reason: CloseReason::NothingOwed, reclaimed },
+            reason => ServiceEnd { reason, reclaimed },
+        }
     }
 
     /// Waits until the program shuts down and the connection has been open for [`FIRST_REQUEST_GRACE`], since its first
--- a/src/frontend/http2.rs
+++ b/src/frontend/http2.rs
@@ -9,7 +9,7 @@
 mod stream;
 
 use crate::core::Transport;
-use crate::frontend::closing::{self, CloseReason};
+use crate::frontend::closing;
 use crate::frontend::request::FrontendContext;
 use crate::resources::descriptors::{AcceptSlot, ConnectionKind};
 use flaxgap_streams::Http2;
@@ -44,6 +44,7 @@
 
     /// Accepts clients for as long as it is polled.
     pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
+        self.context.budget.put_in_service(ConnectionKind::Http2);
         loop {
             let Ok(permit) = self.connection_permits.clone().acquire_owned().await else { return };
             let slot = self.context.budget.client_slot(ConnectionKind::Http2).await;
@@ -69,10 +70,10 @@
     async fn run_connection(self: Rc<Self>, stream: TcpStream, slot: AcceptSlot) {
         let stream = Rc::new(stream);
         let slot = slot.accepted();
-        connection::serve(&self, stream.clone(), &slot).await;
+        let end = connection::serve(&self, stream.clone(), &slot).await;
         // `h2` has sent its last frames. Bytes that still arrive are read, so that the close does not reset the
         // connection.
         let counters = &self.context.counters;
-        closing::close(&stream, CloseReason::Done, slot.reclaimed(), counters).await;
+        closing::close(&stream, end, &slot, counters).await;
     }
 }
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -3,7 +3,7 @@
 use super::frame_guard::{FrameGuard, InspectedStream, Violation};
 use super::{ACCEPT_PAUSE, Http2Frontend, stream};
 use crate::core::{Transport, seconds};
-use crate::frontend::closing::SharedStream;
+use crate::frontend::closing::{CloseReason, ServiceEnd, SharedStream};
 use crate::resources::descriptors::ClientSlot;
 use bytes::Bytes;
 use flaxgap_streams::abuse::FrameBudgets;
@@ -49,7 +49,8 @@
     frontend: &Rc<Http2Frontend<T>>,
     stream: Rc<TcpStream>,
     slot: &ClientSlot,
-) {
+) -> ServiceEnd {
+    const DONE: ServiceEnd = ServiceEnd { reason: CloseReason::Done, reclaimed: false };
     let counters = &frontend.context.counters;
     counters.client_connections.add();
     counters.http2_connections.add();
@@ -62,13 +63,24 @@
     let handshake_timeout = seconds(frontend.settings.handshake_timeout_s);
     let preface = tokio::select! {
         preface = timeout(handshake_timeout, read_preface(&stream)) => preface,
-        () = slot.reclaimed() => return,
+        () = slot.reclaimed() => {
+            return ServiceEnd { reason: CloseReason::NothingOwed, reclaimed: true };
+        }
     };
     match preface {
         Ok(Ok(Preface::Http2)) => {}
-        Ok(Ok(Preface::Other(error))) => return reject(frontend, stream, error).await,
-        Ok(Err(error)) => return log::debug!("http2: {error}"),
-        Err(_) => return log::debug!("http2: connection preface timed out"),
+        Ok(Ok(Preface::Other(error))) => {
+            reject(frontend, stream, error).await;
+            return DONE;
+        }
+        Ok(Err(error)) => {
+            log::debug!("http2: {error}");
+            return DONE;
+        }
+        Err(_) => {
+            log::debug!("http2: connection preface timed out");
+            return DONE;
+        }
     }
     let guard = FrameGuard::new(FrameBudgets::new(frontend.settings.frame_limits, 0.0), opened_at);
     let inspected = InspectedStream { stream: SharedStream(stream), guard: guard.clone() };
@@ -79,8 +91,14 @@
     .await
     {
         Ok(Ok(library)) => library,
-        Ok(Err(error)) => return log::debug!("http2: {error}"),
-        Err(_) => return log::debug!("http2: handshake timed out"),
+        Ok(Err(error)) => {
+            log::debug!("http2: {error}");
+            return DONE;
+        }
+        Err(_) => {
+            log::debug!("http2: handshake timed out");
+            return DONE;
+        }
     };
     let (ended_sender, ended) = mpsc::unbounded_channel();
     let graceful_shutdown = GracefulShutdown::new(
@@ -101,7 +119,8 @@
         shutdown: frontend.context.phases.subscribe_closing(),
         shutdown_begun: false,
     };
-    open.run().await;
+    let cause = open.run().await;
+    ServiceEnd { reason: CloseReason::Done, reclaimed: cause == Some(Cause::Reclaimed) }
 }
 
 /// The protocol of a client, by its first bytes.
@@ -195,38 +214,42 @@
 }
 
 impl<T: Transport + 'static> OpenConnection<'_, T> {
-    async fn run(mut self) {
+    /// Serves streams until the connection has to close. Returns why it was shut down gracefully, if it was.
+    async fn run(mut self) -> Option<Cause> {
         self.slot.mark_in_use();
         self.slot.mark_idle();
         loop {
             let action = match self.next_event().await {
-                ConnectionEvent::Violation(violation) => return self.end_for_violation(violation).await,
+                ConnectionEvent::Violation(violation) => {
+                    self.end_for_violation(violation).await;
+                    return None;
+                }
                 ConnectionEvent::StreamEnded => self.stream_ended(),
                 ConnectionEvent::Shutdown => {
                     self.shutdown_begun = true;
                     self.graceful_shutdown.begin(self.now(), Cause::Drain)
                 }
-                ConnectionEvent::DescriptorsShort => {
-                    self.graceful_shutdown.begin(self.now(), Cause::Reclaimed)
-                }
+                ConnectionEvent::DescriptorsShort => self.reclaim(),
                 ConnectionEvent::TimerDue => self.graceful_shutdown.poll(self.now()),
                 ConnectionEvent::Accepted(accepted) => match *accepted {
                     Some(Ok((request, respond))) => {
                         self.stream_accepted(request, respond);
                         Action::None
                     }
-                    Some(Err(error)) => return self.library_failed(&error),
-                    None => return,
+                    Some(Err(error)) => {
+                        self.library_failed(&error);
+                        return None;
+                    }
+                    None => return self.graceful_shutdown.cause(),
                 },
             };
             match action {
                 Action::None => {}
                 Action::SendGoaway => self.library.graceful_shutdown(),
                 Action::Close => {
-                    return log::debug!(
-                        "http2: connection closed after the grace time, cause={:?}",
-                        self.graceful_shutdown.cause()
-                    );
+                    let cause = self.graceful_shutdown.cause();
+                    log::debug!("http2: connection closed after the grace time, cause={cause:?}");
+                    return cause;
                 }
             }
         }
@@ -266,6 +289,15 @@
         log::debug!("http2: connection closed, result={result:?}");
     }
 
+    /// Begins to close the connection to free its descriptor, unless a stream has been accepted in the meantime.
+    fn reclaim(&mut self) -> Action {
+        if self.graceful_shutdown.streams() > 0 {
+            self.slot.decline_reclaim();
+            return Action::None;
+        }
+        self.graceful_shutdown.begin(self.now(), Cause::Reclaimed)
+    }
+
     fn stream_ended(&mut self) -> Action {
         self.graceful_shutdown.stream_closed(self.now());
         let is_idle = self.graceful_shutdown.streams() == 0;
@@ -283,6 +315,7 @@
     fn stream_accepted(&mut self, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
         let was_idle = self.graceful_shutdown.streams() == 0;
         if was_idle {
+            self.slot.decline_reclaim();
             self.slot.mark_in_use();
         }
         if stream::admit(self.frontend, self.admission, request, respond, &self.ended_sender) {
--- a/src/frontend/intake/connection_state.rs
+++ b/src/frontend/intake/connection_state.rs
@@ -2,7 +2,8 @@
 
 use crate::core::Client;
 use crate::metrics::counters::Counters;
-use std::cell::Cell;
+use crate::resources::descriptors::{ClientSlot, TRANSIT_GRACE};
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
@@ -47,9 +48,11 @@
         framing_ambiguous: bool,
         body_incomplete: bool,
     },
-    /// hyper has called the service with it. `body_incomplete` is set until its body is passed on to its end.
+    /// hyper has called the service with it. `body_incomplete` is set until its body is passed on to its end,
+    /// `answer_begun` once the service has returned the head of its answer.
     Serving {
         body_incomplete: bool,
+        answer_begun: bool,
     },
 }
 
@@ -57,6 +60,8 @@
 #[derive(Debug)]
 pub struct ConnectionState {
     pub(super) stream: Rc<TcpStream>,
+    /// The connection's slot in the descriptor budget, which follows the state of the requests.
+    slot: Rc<ClientSlot>,
     pub(super) counters: Rc<Counters>,
     next_request: Cell<NextRequest>,
     current_request: Cell<CurrentRequest>,
@@ -72,15 +77,20 @@
     request_began: Cell<Instant>,
     /// When the head or body that is awaited times out, or the idle connection does.
     receive_deadline: Cell<Instant>,
+    /// When bytes were last received, or else when the connection was accepted.
+    last_received: Cell<Instant>,
+    /// Notified when the request whose body is awaited has to be rejected; a new one for each request.
+    body_rejected: RefCell<Rc<Notify>>,
     changed: Notify,
 }
 
 impl ConnectionState {
     /// Creates the state of a new connection.
-    pub fn new(stream: Rc<TcpStream>, counters: Rc<Counters>) -> Rc<ConnectionState> {
+    pub fn new(stream: Rc<TcpStream>, slot: Rc<ClientSlot>, counters: Rc<Counters>) -> Rc<ConnectionState> {
         let now = Instant::now();
         Rc::new(ConnectionState {
             stream,
+            slot,
             counters,
             next_request: Cell::new(NextRequest::First),
             current_request: Cell::new(CurrentRequest::None),
@@ -90,6 +100,8 @@
             speaks_http2: Cell::new(false),
             request_began: Cell::new(now),
             receive_deadline: Cell::new(now + HEAD_TIMEOUT),
+            last_received: Cell::new(now),
+            body_rejected: RefCell::default(),
             changed: Notify::new(),
         })
     }
@@ -135,7 +147,57 @@
     /// Whether a request is served whose body is not passed on to its end. Unread bytes of it may hide that the client
     /// has closed its side.
     pub fn is_receiving_body(&self) -> bool {
-        self.current_request.get() == CurrentRequest::Serving { body_incomplete: true }
+        matches!(self.current_request.get(), CurrentRequest::Serving { body_incomplete: true, .. })
+    }
+
+    /// Whether the client has stopped in the middle of a request head, and no other request is served.
+    pub fn is_stalled_in_head(&self) -> bool {
+        let awaits_head = !self.is_answer_due() && self.is_next_arriving() && !self.unflushed.get();
+        awaits_head && self.is_stalled()
+    }
+
+    /// Whether the client has stopped in the middle of a request body, and the request has no answer yet.
+    pub fn is_stalled_in_body(&self) -> bool {
+        let awaits_body = CurrentRequest::Serving { body_incomplete: true, answer_begun: false };
+        self.current_request.get() == awaits_body && self.is_stalled()
+    }
+
+    /// Whether the client has sent nothing for [`TRANSIT_GRACE`] and all that it sent is read.
+    fn is_stalled(&self) -> bool {
+        self.last_received.get().elapsed() >= TRANSIT_GRACE && self.has_nothing_unread()
+    }
+
+    /// Rejects the request whose body is awaited.
+    pub fn reject_body(&self) {
+        self.body_rejected.borrow().notify_one();
+    }
+
+    /// Waits until the request whose body is awaited has to be rejected.
+    pub async fn body_rejected(&self) {
+        let rejected = self.body_rejected.borrow().clone();
+        rejected.notified().await;
+    }
+
+    /// Keeps the connection open although its descriptor was to be freed, since a request has begun to arrive.
+    pub fn decline_reclaim(&self) {
+        if self.slot.decline_reclaim() {
+            self.update_slot();
+        }
+    }
+
+    /// Sets the state of the slot by that of the requests.
+    fn update_slot(&self) {
+        match self.current_request.get() {
+            CurrentRequest::Serving { body_incomplete: true, answer_begun: false } => {
+                self.slot.mark_incomplete();
+            }
+            CurrentRequest::PassedOn { .. } | CurrentRequest::Serving { .. } => self.slot.mark_in_use(),
+            CurrentRequest::None => match self.next_request.get() {
+                NextRequest::First => {}
+                NextRequest::NotBegun => self.slot.mark_idle(),
+                NextRequest::Arriving => self.slot.mark_incomplete(),
+            },
+        }
     }
 
     /// Whether a request was passed to hyper and its answer has not left the service yet.
@@ -185,6 +247,21 @@
 
 /// Events of a request, in the order in which they occur.
 impl ConnectionState {
+    /// Bytes have been read from the socket.
+    pub(super) fn bytes_received(&self) {
+        self.last_received.set(Instant::now());
+        if self.slot.is_incomplete() {
+            self.slot.mark_incomplete();
+        }
+    }
+
+    /// The head that has begun to arrive is not complete yet.
+    pub(super) fn head_incomplete(&self) {
+        if !self.slot.is_incomplete() {
+            self.update_slot();
+        }
+    }
+
     /// Bytes of a head have arrived: starts the time-out of the head. That of the first head runs since the accept of
     /// the connection.
     pub(super) fn request_arriving(&self) {
@@ -208,10 +285,12 @@
             CurrentRequest::PassedOn { framing_ambiguous, body_incomplete } => {
                 (framing_ambiguous, body_incomplete)
             }
-            CurrentRequest::Serving { body_incomplete } => (false, body_incomplete),
+            CurrentRequest::Serving { body_incomplete, .. } => (false, body_incomplete),
             CurrentRequest::None => (false, false),
         };
-        self.current_request.set(CurrentRequest::Serving { body_incomplete });
+        self.current_request.set(CurrentRequest::Serving { body_incomplete, answer_begun: false });
+        self.body_rejected.replace(Rc::default());
+        self.update_slot();
         self.changed.notify_one();
         framing_ambiguous
     }
@@ -234,15 +313,25 @@
                 let current = CurrentRequest::PassedOn { framing_ambiguous, body_incomplete: false };
                 self.current_request.set(current);
             }
-            CurrentRequest::Serving { .. } => {
-                self.current_request.set(CurrentRequest::Serving { body_incomplete: false });
+            CurrentRequest::Serving { answer_begun, .. } => {
+                self.current_request.set(CurrentRequest::Serving { body_incomplete: false, answer_begun });
+                self.update_slot();
             }
         }
     }
 
+    /// The service has returned the head of the answer.
+    pub fn answer_begun(&self) {
+        if let CurrentRequest::Serving { body_incomplete, .. } = self.current_request.get() {
+            self.current_request.set(CurrentRequest::Serving { body_incomplete, answer_begun: true });
+            self.update_slot();
+        }
+    }
+
     /// The answer has left the service: starts the time-out of the next request.
     pub fn answer_ended(&self) {
         self.current_request.set(CurrentRequest::None);
+        self.update_slot();
         self.unflushed.set(true);
         self.request_began.set(Instant::now());
         let timeout = if self.is_next_arriving() { HEAD_TIMEOUT } else { IDLE_TIMEOUT };
--- a/src/frontend/intake/reader.rs
+++ b/src/frontend/intake/reader.rs
@@ -119,7 +119,7 @@
         self.state.request_arriving();
         let parsed = framing::parse_head(&self.buffered);
         match parsed {
-            Parsed::Incomplete => {}
+            Parsed::Incomplete => self.state.head_incomplete(),
             Parsed::Malformed => self.state.set_speaks_http2(self.buffered.starts_with(HTTP2_PREFACE)),
             Parsed::Complete { length, next } => {
                 let framing_ambiguous = next == Part::Unreadable;
@@ -218,7 +218,7 @@
             ready!(this.state.stream.poll_read_ready(cx))?;
             match this.try_read() {
                 Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => {}
+                Ok(_) => this.state.bytes_received(),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
--- a/src/frontend/intake/tests.rs
+++ b/src/frontend/intake/tests.rs
@@ -2,6 +2,7 @@
 
 use super::connection_state::{ConnectionState, IDLE_TIMEOUT};
 use crate::metrics::counters::Counters;
+use crate::resources::descriptors::{ConnectionKind, DescriptorBudget};
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
@@ -12,7 +13,10 @@
 async fn a_connection_is_idle_only_once_its_answer_is_written() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
-    let state = ConnectionState::new(Rc::new(stream), Rc::new(Counters::default()));
+    let counters = Rc::new(Counters::default());
+    let budget = DescriptorBudget::new(100, counters.clone());
+    let slot = Rc::new(budget.client_slot(ConnectionKind::Http).await.accepted());
+    let state = ConnectionState::new(Rc::new(stream), slot, counters);
     assert!(state.is_idle() && state.is_unused() && state.timeout_at().is_some());
     state.request_arriving();
     assert!(!state.is_idle() && !state.is_unused() && state.timeout_at().is_some());
--- a/src/frontend/request.rs
+++ b/src/frontend/request.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Returns the response to a request whose body has stopped arriving while descriptors run short.
+    pub fn reject_slow_body(&self) -> Response<ResponseBody> {
+        self.reject(&BadRequest::Slow)
+    }
+
     /// Returns the response to a request that can't be served, and counts it.
     fn reject(&self, error: &BadRequest) -> Response<ResponseBody> {
         self.counters.bad_input.add();
--- a/src/resources/descriptors.rs
+++ b/src/resources/descriptors.rs
@@ -1,5 +1,9 @@
-//! Budget of file descriptors: every connection holds a [`ConnectionSlot`], and when descriptors run out, the
-//! connection that has been idle longest is closed.
+//! Budget of file descriptors: every connection holds a slot, and when descriptors run out, a connection that carries no
+//! request is closed.
+//!
+//! Each frontend in service has a floor: a number of slots that no other frontend and no connection to a node may take.
+//! So a frontend whose connections all carry requests leaves the others able to accept. The floors are not lent, since a
+//! slot that carries a request can't be had back.
 
 mod reclaim;
 mod slot;
@@ -28,6 +32,8 @@
 /// Divisor of the budget that gives the slots reserved for connections to nodes: accepting a client is useless if no
 /// connection to a node can be opened for it.
 const NODE_RESERVE_DIVISOR: usize = 5;
+/// Divisor of the clients' slots that gives the floor of each frontend in service.
+const FLOOR_DIVISOR: usize = 8;
 /// Divisor of the descriptor limit that gives the maximum number of client connections kept open while idle between two
 /// requests. All client connections together hold at most twice as many descriptors: without this maximum, idle ones
 /// would leave none for clients that open a connection for each request.
@@ -36,8 +42,9 @@
 const SLOT_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Least time between two log lines that say that a frontend waits for a slot.
 const SHORTAGE_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a new connection is kept open without a request, since its first request may be in transit.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(100);
+/// How long a connection without a complete request is kept open after its last byte or, if there is none, after it was
+/// accepted, since the rest may be in transit.
+pub const TRANSIT_GRACE: Duration = Duration::from_millis(100);
 
 /// Sequence number of the moment at which a connection became idle or was accepted; the lowest is closed first.
 type CloseOrder = u64;
@@ -50,6 +57,8 @@
     share: Cell<f64>,
     /// Slots in use.
     usage: Cell<SlotUsage>,
+    /// Which frontends are in service, by kind of connection.
+    in_service: Cell<[bool; ConnectionKind::ALL.len()]>,
     /// When a frontend last logged that it waits for a slot.
     shortage_logged_at: Cell<Option<Instant>>,
     /// Notified when a slot is released.
@@ -66,6 +75,7 @@
             limit: Cell::new(limit),
             share: Cell::new(1.0),
             usage: Cell::default(),
+            in_service: Cell::default(),
             shortage_logged_at: Cell::new(None),
             freed: Notify::new(),
             next_order: Cell::new(0),
@@ -95,23 +105,52 @@
         self.usage.get().total() as f64 / self.budget() as f64
     }
 
-    /// Returns a slot for a connection about to be opened or accepted. If all slots are in use, another connection is
-    /// requested to close. Returns `None` if none can be closed, or, for a client, if the slot is not yet released.
+    /// Puts the frontend that accepts connections of this kind into service: from now on it has a floor.
+    pub fn put_in_service(&self, kind: ConnectionKind) {
+        let mut in_service = self.in_service.get();
+        in_service[kind as usize] = true;
+        self.in_service.set(in_service);
+    }
+
+    /// Returns a slot for a connection about to be opened or accepted. If there is none, another connection is requested
+    /// to close. Returns `None` if none can be closed, or, for a client, if the slot is not yet released.
     pub fn slot(self: &Rc<Self>, kind: ConnectionKind) -> Option<ConnectionSlot> {
-        let limit = match kind.is_client() {
-            true => self.budget() - self.budget() / NODE_RESERVE_DIVISOR,
-            false => self.budget(),
-        };
-        if self.usage.get().total_staying_open() >= limit && !self.close_idle_connection() {
-            return None;
-        }
-        if kind.is_client() && self.usage.get().total() >= limit {
+        let has_room = self.has_room(kind, SlotUsage::staying_open) || self.close_for(kind);
+        // A connection to a node may be opened while the one that was closed for it still releases its descriptor.
+        if !has_room || kind.is_client() && !self.has_room(kind, SlotUsage::open) {
             return None;
         }
         let state = if kind.is_client() { SlotState::Reserved } else { SlotState::InUse };
         Some(ConnectionSlot::take(self, kind, state))
     }
 
+    /// Whether a connection of this kind may take a slot, by the number of slots that `count` returns for each kind.
+    fn has_room(&self, kind: ConnectionKind, count: impl Fn(&SlotUsage, ConnectionKind) -> usize) -> bool {
+        let usage = self.usage.get();
+        if count(&usage, kind) < self.floor(kind) {
+            return true;
+        }
+        let others = ConnectionKind::CLIENTS.into_iter().filter(|other| *other != kind);
+        let unused_floors: usize =
+            others.map(|other| self.floor(other).saturating_sub(count(&usage, other))).sum();
+        let limit = if kind.is_client() { self.clients_limit() } else { self.budget() };
+        let total: usize = ConnectionKind::ALL.into_iter().map(|kind| count(&usage, kind)).sum();
+        total + unused_floors < limit
+    }
+
+    /// Number of slots that only connections of this kind may take.
+    fn floor(&self, kind: ConnectionKind) -> usize {
+        match self.in_service.get()[kind as usize] {
+            true => (self.clients_limit() / FLOOR_DIVISOR).max(1),
+            false => 0,
+        }
+    }
+
+    /// Number of slots in use up to which clients are accepted.
+    fn clients_limit(&self) -> usize {
+        self.budget() - self.budget() / NODE_RESERVE_DIVISOR
+    }
+
     /// Waits for a slot for a client connection. The slot must be obtained before the connection is accepted, since an
     /// accepted connection has to be served.
     pub async fn client_slot(self: &Rc<Self>, kind: ConnectionKind) -> AcceptSlot {
@@ -150,10 +189,22 @@
         self.counters.set_slots(usage);
     }
 
-    /// Requests a connection to close: the oldest on which nothing has been received, or else the one that has been
-    /// idle longest. Returns whether there was such a connection.
+    /// Requests a connection to close, of any kind. Returns whether there was one.
     pub fn close_idle_connection(&self) -> bool {
-        let Some(record) = self.next_to_close() else { return false };
+        self.close_next(|_| true)
+    }
+
+    /// Requests a connection to close, so that one of this kind can take its slot. Returns whether there was one.
+    fn close_for(&self, kind: ConnectionKind) -> bool {
+        let usage = self.usage.get();
+        // The slot of a frontend at its floor would not become free for others.
+        let is_above_floor = |other| usage.staying_open(other) > self.floor(other);
+        self.close_next(|other| other == kind || other == ConnectionKind::Node || is_above_floor(other))
+    }
+
+    /// Requests the next of the `eligible` connections to close. Returns whether there was one.
+    fn close_next(&self, eligible: impl Fn(ConnectionKind) -> bool) -> bool {
+        let Some(record) = self.next_to_close(eligible) else { return false };
         self.counters.reclaimed.add();
         self.change_state(&record, SlotState::Closing);
         record.request_close();
@@ -177,14 +228,16 @@
         self.share_of_limit().saturating_sub(RESERVED_DESCRIPTORS).max(MIN_BUDGET)
     }
 
-    /// The connection to close next: the oldest unused one, unless its first request may be in transit, or else the one
-    /// that has been idle longest.
-    fn next_to_close(&self) -> Option<Rc<SlotRecord>> {
+    /// The connection to close next: the oldest on which nothing has been received, or else the one that has been idle
+    /// longest, or else the one that has waited longest for the rest of a request. Those of which a request may be in
+    /// transit are left out.
+    fn next_to_close(&self, eligible: impl Fn(ConnectionKind) -> bool) -> Option<Rc<SlotRecord>> {
         let reclaimable = self.reclaimable.borrow();
-        let is_past_grace =
-            |record: &&Rc<SlotRecord>| record.listed_at.get().elapsed() >= FIRST_REQUEST_GRACE;
-        let unused = reclaimable.oldest(SlotState::Unused, |_| true).filter(is_past_grace);
-        unused.or_else(|| reclaimable.oldest(SlotState::Idle, |_| true)).cloned()
+        let is_past_grace = |record: &&Rc<SlotRecord>| record.listed_at.get().elapsed() >= TRANSIT_GRACE;
+        let unused = reclaimable.oldest(SlotState::Unused, &eligible).filter(is_past_grace);
+        let idle = || reclaimable.oldest(SlotState::Idle, &eligible);
+        let incomplete = || reclaimable.oldest(SlotState::Incomplete, &eligible).filter(is_past_grace);
+        unused.or_else(idle).or_else(incomplete).cloned()
     }
 
     /// Changes the state of a slot. A connection that can be closed in its new state comes last in the order of closing.
@@ -209,3 +262,6 @@
         self.freed.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/resources/descriptors/reclaim.rs
+++ b/src/resources/descriptors/reclaim.rs
@@ -13,6 +13,7 @@
 #[derive(Default)]
 struct KindLists {
     unused: List,
+    incomplete: List,
     idle: List,
 }
 
@@ -21,16 +22,18 @@
     fn list(&self, state: SlotState) -> Option<&List> {
         match state {
             SlotState::Unused => Some(&self.unused),
+            SlotState::Incomplete => Some(&self.incomplete),
             SlotState::Idle => Some(&self.idle),
-            SlotState::Reserved | SlotState::Incomplete | SlotState::InUse | SlotState::Closing => None,
+            SlotState::Reserved | SlotState::InUse | SlotState::Closing => None,
         }
     }
 
     fn list_mut(&mut self, state: SlotState) -> Option<&mut List> {
         match state {
             SlotState::Unused => Some(&mut self.unused),
+            SlotState::Incomplete => Some(&mut self.incomplete),
             SlotState::Idle => Some(&mut self.idle),
-            SlotState::Reserved | SlotState::Incomplete | SlotState::InUse | SlotState::Closing => None,
+            SlotState::Reserved | SlotState::InUse | SlotState::Closing => None,
         }
     }
 }
--- a/src/resources/descriptors/slot.rs
+++ b/src/resources/descriptors/slot.rs
@@ -3,6 +3,7 @@
 use super::usage::{ConnectionKind, SlotState};
 use super::{CloseOrder, DescriptorBudget};
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -107,6 +108,13 @@
 /// at any time.
 pub struct ClientSlot(ConnectionSlot);
 
+impl fmt::Debug for ClientSlot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let record = &self.0.record;
+        f.debug_struct("ClientSlot").field("kind", &record.kind).field("state", &record.state.get()).finish()
+    }
+}
+
 impl ClientSlot {
     /// Marks the connection as idle between two requests, from now on.
     pub fn mark_idle(&self) {
@@ -118,6 +126,34 @@
         self.0.mark_in_use();
     }
 
+    /// Notes that bytes of a request or login have been received whose end is awaited, from now on.
+    pub fn mark_incomplete(&self) {
+        self.0.change_to(SlotState::Incomplete);
+    }
+
+    /// Whether the end of a request or login is awaited.
+    pub fn is_incomplete(&self) -> bool {
+        self.0.record.state.get() == SlotState::Incomplete
+    }
+
+    /// Notes that bytes have been received on a connection that may carry requests one at a time: unless it is in use,
+    /// the end of a request or login is awaited from now on.
+    pub fn bytes_received(&self) {
+        if self.0.record.state.get() != SlotState::InUse {
+            self.mark_incomplete();
+        }
+    }
+
+    /// Marks a connection that was requested to close as in use, because it carries a request by now. Returns whether it
+    /// was requested to close.
+    pub fn decline_reclaim(&self) -> bool {
+        let is_closing = self.0.record.state.get() == SlotState::Closing;
+        if is_closing {
+            self.0.budget.change_state(&self.0.record, SlotState::InUse);
+        }
+        is_closing
+    }
+
     /// Waits until the connection is requested to close because descriptors run short.
     pub async fn reclaimed(&self) {
         self.0.record.reclaimed.notified().await;
--- a/tests/peers/frames.rs
+++ b/tests/peers/frames.rs
@@ -98,6 +98,13 @@
     frame(kind::HEADERS, flag::END_HEADERS | flag::END_STREAM, stream, &encode(&request("GET", "play-fetch")))
 }
 
+/// A whole read whose path ends with a word for the node.
+pub fn read_of(stream: u32, word: &str) -> Vec<u8> {
+    let mut pairs = request("GET", "play-fetch");
+    pairs[2].1 += &format!("?{word}");
+    frame(kind::HEADERS, flag::END_HEADERS | flag::END_STREAM, stream, &encode(&pairs))
+}
+
 /// The head of a save; its data follow.
 pub fn save(stream: u32) -> Vec<u8> {
     frame(kind::HEADERS, flag::END_HEADERS, stream, &encode(&request("PUT", "episode-save")))
--- a/tests/peers/initiator.rs
+++ b/tests/peers/initiator.rs
@@ -54,12 +54,28 @@
         initiator
     }
 
+    /// A session of an initiator of this name; `None` if the target does not let it in.
+    pub fn try_login_as(address: SocketAddr, name: &str) -> Option<Initiator> {
+        let mut initiator = Initiator::connect(address);
+        let target = "TargetName=iqn.2026-12.invalid.half-way-tree:story\0SessionType=Normal\0";
+        let keys = format!("InitiatorName=iqn.2026-12.invalid.{name}\0{target}");
+        initiator
+            .try_log_in(0x87, &keys)
+            .filter(|answer| (answer.header[36], answer.header[37]) == (0, 0))?;
+        Some(initiator)
+    }
+
     /// One login request in the operational stage; `flags` say where it wants to go.
     pub fn log_in(&mut self, flags: u8, keys: &str) -> Raw {
+        self.try_log_in(flags, keys).expect("a PDU")
+    }
+
+    /// The same; `None` if the target closes the connection.
+    fn try_log_in(&mut self, flags: u8, keys: &str) -> Option<Raw> {
         let mut header = self.header(0x43, flags);
         header[8..14].copy_from_slice(&[0x80, 0, 0, 1, 0, 0]);
         self.send(header, keys.as_bytes());
-        self.receive()
+        self.next()
     }
 
     fn header(&self, opcode: u8, flags: u8) -> Vec<u8> {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -6,6 +6,7 @@
 pub mod initiator;
 pub mod recorder;
 pub mod timing;
+pub mod usual_clients;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
