A plug-in can call nothing that waits, and a call of it has 5 ms

Cause: the script runs on the only thread; the limit counts steps, a native function is one step, and Engine::new registers the library's standard package with sleep. Related: replace may build the product of two lengths in one step, no bound on a call's time, one count of failures for both hooks, a panic. Change: Engine::new_raw with eleven chosen packages and a bounded replace; a test pins the signatures of all functions that a script can call. A call ends after 5 ms and logs 16 lines, max_size counts up to 4,096, each hook has its own failures, all calls together a fifth of the time, a panic switches the script off. Why it works: no registered function waits, and what one step can cost is bounded by sizes. A thread of its own was weighed: it costs two messages a request; a call of the example takes 2 us.

--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -1,37 +1,63 @@
 //! The plug-in: a Rhai script that observes requests and responses but can't change how they are handled.
 //!
-//! The number of steps of a call and the size of values are limited, and the script has no access to files, sockets or
-//! clocks. Failed calls are counted and logged; after [`MAX_FAILURES`] consecutive failures the script is switched off.
+//! The script runs on the head's only thread, so nothing that it does may hold that up: steps, time and lines of a call
+//! and the size of values are limited, and only functions that neither wait nor reach files, sockets or clocks can be
+//! called ([`engine`]). Failed calls are counted and logged. A hook is switched off after [`MAX_FAILURES`] consecutive
+//! failures, and the whole script once its calls take too much time together ([`TimeBudget`]) or a function panics.
+
+mod engine;
+mod time_budget;
+
+#[cfg(test)]
+mod tests;
 
 use crate::core::{Answer, Call, Observer, Operation};
 use crate::metrics::counters::Counters;
+use engine::{CallUsage, MAX_CALL_TIME, MAX_SIZE_LIMIT, limited_engine};
 use rhai::{AST, CallFnOptions, Dynamic, Engine, Map, Scope};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
+use time_budget::TimeBudget;
 
-/// Consecutive failed calls after which the script is switched off.
+/// Consecutive failed calls after which a hook is switched off.
 const MAX_FAILURES: u32 = 10;
-/// Maximum length of a line logged by a script, in characters; longer lines are truncated.
-const MAX_LINE_CHARS: usize = 200;
-/// Maximum depth of nested function calls in a script.
-const MAX_CALL_DEPTH: usize = 8;
-/// Maximum number of variables in scope.
-const MAX_VARIABLES: usize = 64;
-/// Maximum depth of an expression outside functions.
-const MAX_EXPRESSION_DEPTH: usize = 32;
-/// Maximum depth of an expression inside functions.
-const MAX_FUNCTION_EXPRESSION_DEPTH: usize = 16;
-/// Maximum string length, as a multiple of the configured maximum number of elements.
-const STRING_BYTES_PER_ELEMENT: usize = 16;
-
-/// Name of the script's function that is called for each accepted request.
-const REQUEST_HOOK: &str = "on_request";
-/// Name of the script's function that is called for each response.
-const RESPONSE_HOOK: &str = "on_answer";
+/// Why a call failed.
+#[derive(Debug, Error)]
+enum CallError {
+    /// The script exceeded a limit or has an error.
+    #[error("{0}")]
+    Script(#[from] Box<rhai::EvalAltResult>),
+    /// The call ended, but took too long.
+    #[error("took {} us, {} at most", .0.as_micros(), MAX_CALL_TIME.as_micros())]
+    Slow(Duration),
+    /// A function that the script called panicked.
+    #[error("a function panicked")]
+    Panicked,
+}
+
+/// A function of the script that the head calls, if the script defines it.
+struct Hook {
+    name: &'static str,
+    is_defined: bool,
+    consecutive_failures: Cell<u32>,
+}
+
+impl Hook {
+    fn find(name: &'static str, script: &AST) -> Hook {
+        let is_defined =
+            script.iter_functions().any(|function| function.name == name && function.params.len() == 1);
+        Hook { name, is_defined, consecutive_failures: Cell::new(0) }
+    }
+
+    fn is_on(&self) -> bool {
+        self.is_defined && self.consecutive_failures.get() < MAX_FAILURES
+    }
+}
 
 /// A script that can't be loaded.
 #[derive(Debug, Error)]
@@ -57,7 +83,7 @@
     pub script: PathBuf,
     /// Maximum number of steps (Rhai operations) of one call.
     pub max_steps: u64,
-    /// Maximum number of elements of an array or map. Strings may have 16 bytes for each of them.
+    /// Maximum number of elements of an array or map, 4,096 at most. Strings may have 16 bytes for each of them.
     pub max_size: usize,
 }
 
@@ -66,7 +92,14 @@
     engine: Engine,
     script: AST,
     state: RefCell<Dynamic>,
-    consecutive_failures: Cell<u32>,
+    /// Called for each accepted request.
+    request_hook: Hook,
+    /// Called for each response.
+    response_hook: Hook,
+    usage: Rc<CallUsage>,
+    started_at: Instant,
+    time_budget: RefCell<TimeBudget>,
+    is_switched_off: Cell<bool>,
     counters: Rc<Counters>,
 }
 
@@ -88,71 +121,72 @@
     ///
     /// [`PluginError::Malformed`] if the text can't be compiled.
     pub fn new(text: &str, config: &PluginConfig, counters: Rc<Counters>) -> Result<Plugin, PluginError> {
-        let engine = limited_engine(config);
+        if config.max_size > MAX_SIZE_LIMIT {
+            log::warn!("plug-in: max_size is too large, max_size={}, used={MAX_SIZE_LIMIT}", config.max_size);
+        }
+        let usage = CallUsage::new();
+        let engine = limited_engine(config, &usage);
         let script = engine.compile(text)?;
         Ok(Plugin {
+            request_hook: Hook::find("on_request", &script),
+            response_hook: Hook::find("on_answer", &script),
             engine,
             script,
             state: RefCell::new(Map::new().into()),
-            consecutive_failures: Cell::new(0),
+            usage,
+            started_at: Instant::now(),
+            time_budget: RefCell::new(TimeBudget::new(Duration::ZERO)),
+            is_switched_off: Cell::new(false),
             counters,
         })
     }
 
     /// Calls a function of the script, with the script's state as `this`. Does nothing if the script does not define the
-    /// function or is switched off.
-    fn call(&self, hook: &str, argument: Map) {
-        if !self.has_hook(hook) || self.consecutive_failures.get() >= MAX_FAILURES {
+    /// function, or it is switched off.
+    fn call(&self, hook: &Hook, argument: impl FnOnce() -> Map) {
+        if self.is_switched_off.get() || !hook.is_on() {
             return;
         }
-        let state = &mut *self.state.borrow_mut();
-        let options = CallFnOptions::new().eval_ast(false).bind_this_ptr(state);
-        let result = self.engine.call_fn_with_options::<Dynamic>(
-            options,
-            &mut Scope::new(),
-            &self.script,
-            hook,
-            (argument,),
-        );
+        let argument = argument();
+        self.usage.begin();
+        let result = catch_unwind(AssertUnwindSafe(|| self.run(hook, argument)));
+        let time = self.usage.elapsed();
         match result {
-            Ok(_) => self.consecutive_failures.set(0),
-            Err(error) => self.record_failure(hook, &error),
+            Ok(Ok(())) if time > MAX_CALL_TIME => self.record_failure(hook, &CallError::Slow(time)),
+            Ok(Ok(())) => hook.consecutive_failures.set(0),
+            Ok(Err(error)) => self.record_failure(hook, &CallError::Script(error)),
+            Err(_) => {
+                self.record_failure(hook, &CallError::Panicked);
+                self.switch_off("a function panicked");
+            }
+        }
+        if !self.time_budget.borrow_mut().take(time, self.started_at.elapsed()) {
+            self.switch_off("its calls take too much time");
         }
     }
 
-    fn has_hook(&self, hook: &str) -> bool {
-        self.script.iter_functions().any(|function| function.name == hook && function.params.len() == 1)
+    fn run(&self, hook: &Hook, argument: Map) -> Result<(), Box<rhai::EvalAltResult>> {
+        let state = &mut *self.state.borrow_mut();
+        let options = CallFnOptions::new().eval_ast(false).bind_this_ptr(state);
+        let scope = &mut Scope::new();
+        self.engine
+            .call_fn_with_options::<Dynamic>(options, scope, &self.script, hook.name, (argument,))
+            .map(|_| ())
     }
 
-    fn record_failure(&self, hook: &str, error: &rhai::EvalAltResult) {
+    fn record_failure(&self, hook: &Hook, error: &CallError) {
         self.counters.plugin_failures.add();
-        let failures = self.consecutive_failures.get() + 1;
-        self.consecutive_failures.set(failures);
+        let failures = hook.consecutive_failures.get() + 1;
+        hook.consecutive_failures.set(failures);
         let switched_off = if failures == MAX_FAILURES { ", switched off" } else { "" };
-        log::warn!("plug-in: {hook}: {error}{switched_off}");
+        log::warn!("plug-in: {}: {error}{switched_off}", hook.name);
     }
-}
-
-/// Creates a script engine with the configured limits.
-fn limited_engine(config: &PluginConfig) -> Engine {
-    let max_size = config.max_size.max(1);
-    let mut engine = Engine::new();
-    engine.set_max_operations(config.max_steps.max(1));
-    engine.set_max_call_levels(MAX_CALL_DEPTH);
-    engine.set_max_variables(MAX_VARIABLES);
-    engine.set_max_expr_depths(MAX_EXPRESSION_DEPTH, MAX_FUNCTION_EXPRESSION_DEPTH);
-    engine.set_max_array_size(max_size);
-    engine.set_max_map_size(max_size);
-    engine.set_max_string_size(max_size * STRING_BYTES_PER_ELEMENT);
-    engine.disable_symbol("eval");
-    engine.on_print(|text| log::info!("plug-in: {}", truncated(text)));
-    engine.on_debug(|text, _, _| log::debug!("plug-in: {}", truncated(text)));
-    engine
-}
 
-/// Truncates a text to [`MAX_LINE_CHARS`].
-fn truncated(text: &str) -> String {
-    text.chars().take(MAX_LINE_CHARS).collect()
+    fn switch_off(&self, reason: &str) {
+        if !self.is_switched_off.replace(true) {
+            log::error!("plug-in: switched off: {reason}");
+        }
+    }
 }
 
 /// The properties of a request that are passed to the script. Scripts depend on the keys.
@@ -184,10 +218,10 @@
 
 impl Observer for Plugin {
     fn request_accepted(&self, call: &Call) {
-        self.call(REQUEST_HOOK, request_fields(call));
+        self.call(&self.request_hook, || request_fields(call));
     }
 
     fn request_answered(&self, call: &Call, answer: &Answer, latency: Duration) {
-        self.call(RESPONSE_HOOK, response_fields(call, answer, latency));
+        self.call(&self.response_hook, || response_fields(call, answer, latency));
     }
 }
--- a/tests/scenarios_ops.rs
+++ b/tests/scenarios_ops.rs
@@ -140,3 +140,21 @@
     });
     insta::assert_debug_snapshot!(problems);
 }
+
+/// Guards against a plug-in that waits on the head's only thread: no call may cost a request its answer.
+#[test]
+fn a_script_that_sleeps_costs_no_request_its_answer() {
+    let node = Brick::start(|_, _| Step::Serve(vec![]));
+    for hook in ["on_request", "on_answer"] {
+        let script = write_file(&format!("sleep-{hook}"), &format!("fn {hook}(r) {{ sleep(3600); }}"));
+        let text = format!("[plugin]\nscript = {script:?}\nmax_steps = 2000\nmax_size = 256\n");
+        let (_discovery, mut head) = start_head(&node, &format!("plugin-sleep-{hook}"), &text);
+        for _ in 0..12 {
+            assert_eq!(read_status(&head), 200, "{hook}");
+        }
+        assert_eq!(head.counter("plugin_failures"), 10, "{hook}: it is switched off after 10 failures");
+        head.signal("-TERM");
+        assert!(head.ended(), "{hook}: it ends by SIGTERM");
+        std::fs::remove_file(script).expect("removed");
+    }
+}
