The log is written by a thread of its own, so that an unread pipe stops no head

Callers saw: once nobody reads a head's standard error, which is a pipe, the head answers nothing any more; with a plug-in that prints at each step, or at debug level, within a hundred requests or so. Cause: the thread that logs a line writes it, the head has one thread, and a write to a full pipe waits. The relay does so too.

--- a/src/bin/flaxgap-relay/main.rs
+++ b/src/bin/flaxgap-relay/main.rs
@@ -17,6 +17,8 @@
 mod upstream;
 
 use clap::Parser;
+use env_logger::TimestampPrecision;
+use flaxgap::logging;
 use server::StartError;
 use settings::RelaySettings;
 use std::path::PathBuf;
@@ -37,14 +39,16 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match start(&arguments) {
+    logging::init(TimestampPrecision::Seconds);
+    let exit_code = match start(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("flaxgap-relay: {error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    logging::flush();
+    exit_code
 }
 
 fn start(arguments: &Arguments) -> Result<(), StartError> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod frontend;
 pub mod handover;
 pub mod lifecycle;
+pub mod logging;
 pub mod metrics;
 pub mod node;
 pub mod plugin;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,10 @@
 //! The storage head's executable: reads the environment variables and the files that they name, and runs the daemon.
 
+use env_logger::TimestampPrecision;
 use flaxgap::config::Config;
 use flaxgap::config::operators_file::OperatorsFile;
 use flaxgap::daemon::{Daemon, Signals};
+use flaxgap::logging;
 use flaxgap::metrics::event_loop::MeasuredTurns;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -19,15 +21,16 @@
 const STATE_FOLDER: &str = "TMPDIR";
 
 fn main() -> ExitCode {
-    let filter = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(filter).format_timestamp_micros().init();
-    match run() {
+    logging::init(TimestampPrecision::Micros);
+    let exit_code = match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("flaxgap: {error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    logging::flush();
+    exit_code
 }
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
--- a/tests/scenarios_ops.rs
+++ b/tests/scenarios_ops.rs
@@ -141,6 +141,76 @@
     insta::assert_debug_snapshot!(problems);
 }
 
+/// A head whose standard error nobody reads any more once it is ready.
+struct UnreadHead {
+    child: std::process::Child,
+    http: std::net::SocketAddr,
+    folder: std::path::PathBuf,
+    _log: std::io::BufReader<std::process::ChildStderr>,
+}
+
+impl UnreadHead {
+    fn start(discovery: &Discovery, name: &str, operators_file: Option<&std::path::Path>) -> UnreadHead {
+        use std::io::BufRead;
+        let folder = std::env::temp_dir().join(format!("flaxgap-unread-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(folder.join("config.json"), config(discovery, 1024, "null")).expect("written");
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_flaxgap"));
+        command.env("LB_CONFIG", folder.join("config.json")).env("RUST_LOG", "debug").env("TMPDIR", &folder);
+        command.env_remove("FLAXGAP_BLOCK").env_remove("LB_OPS").env_remove("FLAXGAP_OPS");
+        if let Some(path) = operators_file {
+            command.env("FLAXGAP_OPS", path);
+        }
+        let mut child = command.stderr(std::process::Stdio::piped()).spawn().expect("the head starts");
+        let mut log = std::io::BufReader::new(child.stderr.take().expect("piped"));
+        let mut http = None;
+        let mut line = String::new();
+        while !line.contains("daemon: Ready") {
+            line.clear();
+            assert!(log.read_line(&mut line).expect("a line") > 0, "the head ended");
+            if line.contains("http: listening on ") {
+                http = line.trim_end().rsplit(' ').next().and_then(|address| address.parse().ok());
+            }
+        }
+        UnreadHead { child, http: http.expect("an address"), folder, _log: log }
+    }
+}
+
+impl Drop for UnreadHead {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Guards against a head that stands still in the write of a log line, with a plug-in that logs much or without one,
+/// because nobody reads its standard error.
+#[test]
+fn a_head_whose_log_nobody_reads_answers_every_request() {
+    const REQUESTS: usize = 600;
+    let node = Brick::start(|_, _| Step::Serve(vec![]));
+    let discovery = Discovery::start(&[entry("s-1", node.address, 0, "ready")]);
+    let script = write_file("chatty", "fn on_request(r) { loop { print(`${r}${r}`); } }");
+    let text = format!("[plugin]\nscript = {script:?}\nmax_steps = 2000\nmax_size = 256\n");
+    let with_plugin = write_file("chatty-ops", &text);
+    for (name, operators_file) in [("plain", None), ("plugin", Some(with_plugin.as_path()))] {
+        let mut head = UnreadHead::start(&discovery, name, operators_file);
+        let mut client = Client::new(head.http);
+        for number in 0..REQUESTS {
+            let request = Client::request("play-fetch", "network", 1, 2.0, 0);
+            assert_eq!(client.ask(&request, b"").status(), 200, "{name}: request {number}");
+        }
+        let pid = head.child.id().to_string();
+        assert!(std::process::Command::new("kill").arg(&pid).status().expect("kill").success());
+        let is_clean = wait(|| head.child.try_wait().expect("a child")).success();
+        assert!(is_clean, "{name}: it ends by SIGTERM");
+    }
+    for path in [script, with_plugin] {
+        std::fs::remove_file(path).expect("removed");
+    }
+}
+
 /// Guards against a plug-in that waits on the head's only thread: no call may cost a request its answer.
 #[test]
 fn a_script_that_sleeps_costs_no_request_its_answer() {
