A process whose newer one has ended can hand over again

Cause: the killed process had renamed its socket over the old one's, whose listener had no name from then on; nothing bound the name again, so the third process found nobody and started alone. Change: when a newer process ends, the older one binds the name again, unless it is still its own or somebody listens there. Why it works: the next process then finds the one that serves, and all that processes tell each other goes on. Evidence: tests/kills_handover.rs left out the third start in this one case; it is played after each kill now, and the third one's readmission has to reach the survivor.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -24,12 +24,13 @@
 use message::{Message, MessageDecoder};
 use peer::PeerConnection;
 use socket_passing::{receive_sockets, send_sockets};
+use socket_path::BoundListener;
 use state::{NewerProcess, OtherProcesses};
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{error::Elapsed, sleep, timeout};
@@ -198,10 +199,15 @@
     }
 
     /// Accepts newer processes on the Unix socket, one at a time.
-    async fn accept_newer_processes(self: Rc<Self>, listener: UnixListener) {
+    async fn accept_newer_processes(self: Rc<Self>, mut bound: BoundListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => self.serve_newer_process(stream).await,
+            match bound.listener.accept().await {
+                Ok((stream, _)) => {
+                    self.serve_newer_process(stream).await;
+                    if let Some(bound_again) = self.listen_again(&bound).await {
+                        bound = bound_again;
+                    }
+                }
                 Err(error) => {
                     log::warn!("handover: accept: {error}");
                     sleep(ACCEPT_PAUSE).await;
@@ -210,6 +216,29 @@
         }
     }
 
+    /// Listens anew after a newer process has ended that had put its own socket in the place of this process's one: the
+    /// next process would not find this one. Returns `None` if that is not needed, or if it fails.
+    async fn listen_again(&self, bound: &BoundListener) -> Option<BoundListener> {
+        let path = self.socket_path.as_ref()?;
+        if bound.is_at(path) {
+            return None;
+        }
+        if socket_path::connect(path).await.is_ok() {
+            log::warn!("handover: another process listens at {}", path.display());
+            return None;
+        }
+        match socket_path::listen(path) {
+            Ok(bound_again) => {
+                log::info!("handover: listening for a newer process again");
+                Some(bound_again)
+            }
+            Err(error) => {
+                log::error!("handover: {}: {error}; no upgrade can follow", path.display());
+                None
+            }
+        }
+    }
+
     /// Passes the listening sockets to a newer process, then handles its messages until it ends.
     async fn serve_newer_process(&self, stream: UnixStream) {
         let newer = Rc::new(PeerConnection { stream });
--- a/src/handover/socket_path.rs
+++ b/src/handover/socket_path.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::io;
 use std::os::fd::AsRawFd;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use tokio::net::{UnixListener, UnixStream};
 
@@ -37,15 +38,31 @@
     UnixStream::connect(&address.path).await
 }
 
+/// A listening socket that was bound in the state folder.
+pub(super) struct BoundListener {
+    /// The listening socket.
+    pub(super) listener: UnixListener,
+    /// Inode of the socket's name in the folder.
+    inode: u64,
+}
+
+impl BoundListener {
+    /// Whether `path` still names this socket, and not that of a newer process.
+    pub(super) fn is_at(&self, path: &Path) -> bool {
+        std::fs::metadata(path).is_ok_and(|metadata| metadata.ino() == self.inode)
+    }
+}
+
 /// Listens at `path`. Replaces the socket of an earlier process by a rename, so that a connecting process finds one of
 /// the two at any time.
-pub(super) fn listen(path: &Path) -> io::Result<UnixListener> {
+pub(super) fn listen(path: &Path) -> io::Result<BoundListener> {
     let temporary = path.with_extension("new");
     if let Err(error) = std::fs::remove_file(&temporary) {
         log::debug!("handover: {}: {error}", temporary.display());
     }
     let address = SocketAddress::new(&temporary)?;
     let listener = UnixListener::bind(&address.path)?;
+    let inode = std::fs::metadata(&temporary)?.ino();
     std::fs::rename(&temporary, path)?;
-    Ok(listener)
+    Ok(BoundListener { listener, inode })
 }
--- a/tests/kills_handover.rs
+++ b/tests/kills_handover.rs
@@ -2,7 +2,7 @@
 //! other or right after. A relay between them, which passes the sockets on, counts messages; so the message decides, not time.
 //!
 //! What was in flight at the killed one may be lost; nothing else: the other serves within the time that a start may take, answers
-//! what it had, has the excluded node and the overridden level, leaves no file of a handover behind, and hands over itself.
+//! what it had, has the excluded node and the overridden level, leaves no file of a handover behind, and hands over itself, also to a third process after the killed one had served.
 
 mod peers;
 
@@ -242,15 +242,25 @@
         .filter(|name| name.ends_with(".new") || name.contains("draft"))
         .collect();
     assert!(left.is_empty(), "{what}: {left:?}");
-    if kill_at.who == Killed::Older || newer_never_served(&newer) {
-        let third = Head::start(&discovery, None, &shared);
-        assert_eq!(third.http, older.http, "{what}: the survivor hands its socket over");
-        wait(|| survivor.logged("the newer process is in service"));
-        wait_served(third.http, &what);
+    if kill_at.who == Killed::Newer && !newer_never_served(&newer) {
+        wait(|| survivor.logged("listening for a newer process again"));
     }
+    let handovers_before = handovers(survivor);
+    let third = Head::start(&discovery, None, &shared);
+    assert_eq!(third.http, older.http, "{what}: the survivor hands its socket over");
+    wait(|| (handovers(survivor) > handovers_before).then_some(()));
+    wait_served(third.http, &what);
+    // What an operator says at the third one binds the survivor.
+    assert_eq!(call(third.ops, "PUT", "/ops/bricks/up?host=s-2").0, 200, "{what}");
+    wait(|| (gauge(survivor, "bricks_excluded") == 0).then_some(()));
     _ = std::fs::remove_dir_all(folder);
 }
 
+/// How often a head has handed over.
+fn handovers(head: &Head) -> usize {
+    head.log().iter().filter(|line| line.contains("the newer process is in service")).count()
+}
+
 /// Whether the newer process was killed before it took the place of the older one's socket.
 fn newer_never_served(newer: &Head) -> bool {
     newer.logged("daemon: Ready").is_none()
