One accept step for all frontends; a call of a plug-in is bounded by processor time

Cause: three accept loops stood side by side with the same handling of errors. A call of a plug-in was bounded by the clock, so that a head whose thread was not run for 5 ms counted that as the script's. Change: frontend::accept takes a slot and a connection for all frontends. The plug-in's limit and budget go by the thread's processor time, read only once the clock says that the limit may be passed.

--- a/src/frontend/block/listener.rs
+++ b/src/frontend/block/listener.rs
@@ -4,37 +4,24 @@
 use super::session;
 use super::shared::BlockFrontend;
 use crate::core::Transport;
+use crate::frontend::accept::accept;
 use crate::frontend::closing::{self, CloseReason, ServiceEnd};
 use crate::resources::descriptors::{ClientSlot, ConnectionKind};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Delay before the next `accept` after a failed one.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 impl<T: Transport + 'static> BlockFrontend<T> {
-    /// Accepts connections in a loop that never returns. After a failed `accept` the longest idle connection is
-    /// closed, since the process may have run out of descriptors.
+    /// Accepts connections in a loop that never returns.
     pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
         self.budget.put_in_service(ConnectionKind::Block);
         loop {
-            let slot = self.budget.client_slot(ConnectionKind::Block).await;
-            let stream = match self.phases.accept(&listener).await {
-                Ok(stream) => stream,
-                Err(problem) => {
-                    log::warn!("block: accept: {problem}");
-                    self.budget.close_idle_connection();
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
-            let slot = Rc::new(slot.accepted());
+            let accepted = accept(&listener, ConnectionKind::Block, &self.budget, &self.phases).await;
+            let slot = Rc::new(accepted.slot.accepted());
             let frontend = self.clone();
             let connection_guard = self.phases.track_connection();
             tokio::task::spawn_local(async move {
                 let _connection_guard = connection_guard;
-                frontend.run_connection(stream, slot).await;
+                frontend.run_connection(accepted.stream, slot).await;
             });
         }
     }
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1.1 frontend: a tower service on hyper, with a task for each connection.
 
 use crate::core::{Client, Transport};
+use crate::frontend::accept::accept;
 use crate::frontend::closing::{self, CloseReason, ServiceEnd};
 use crate::frontend::intake::{ConnectionState, MAX_HEAD_BYTES, MAX_HEAD_FIELDS, RequestReader};
 use crate::frontend::request::{FrontendContext, ResponseBody};
@@ -21,8 +22,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep_until};
 
-/// Pause after `accept` failed, during which descriptors may be freed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The response to a client that stopped in the middle of a request head, when descriptors run short.
 const HEAD_INCOMPLETE_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -117,18 +116,10 @@
     /// Accepts clients for as long as it is polled.
     pub async fn listen(self: Rc<Self>, listener: &TcpListener) {
         self.context.budget.put_in_service(ConnectionKind::Http);
+        let FrontendContext { budget, phases, .. } = &*self.context;
         loop {
-            let slot = self.context.budget.client_slot(ConnectionKind::Http).await;
-            match self.context.phases.accept(listener).await {
-                Ok(stream) => self.admit(stream, slot),
-                Err(error) => {
-                    // Errors of `accept` pass: descriptors have run out and are freed again, or the client has
-                    // disconnected.
-                    log::warn!("http: accept: {error}");
-                    self.context.budget.close_idle_connection();
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            let accepted = accept(listener, ConnectionKind::Http, budget, phases).await;
+            self.admit(accepted.stream, accepted.slot);
         }
     }
 
--- a/src/frontend/http2.rs
+++ b/src/frontend/http2.rs
@@ -9,21 +9,18 @@
 mod stream;
 
 use crate::core::Transport;
+use crate::frontend::accept::{AcceptedConnection, accept};
 use crate::frontend::closing;
 use crate::frontend::request::FrontendContext;
-use crate::resources::descriptors::{AcceptSlot, ConnectionKind};
+use crate::resources::descriptors::ConnectionKind;
 use flaxgap_streams::Http2;
 use flaxgap_streams::admission::Admission;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
-/// Pause after `accept` failed, during which descriptors may be freed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// The HTTP/2 frontend.
 pub struct Http2Frontend<T> {
     context: Rc<FrontendContext<T>>,
@@ -47,29 +44,21 @@
         self.context.budget.put_in_service(ConnectionKind::Http2);
         loop {
             let Ok(permit) = self.connection_permits.clone().acquire_owned().await else { return };
-            let slot = self.context.budget.client_slot(ConnectionKind::Http2).await;
-            match self.context.phases.accept(&listener).await {
-                Ok(stream) => {
-                    let frontend = self.clone();
-                    let connection_guard = self.context.phases.track_connection();
-                    tokio::task::spawn_local(async move {
-                        let _held = (permit, connection_guard);
-                        frontend.run_connection(stream, slot).await;
-                    });
-                }
-                Err(error) => {
-                    log::warn!("http2: accept: {error}");
-                    self.context.budget.close_idle_connection();
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            let FrontendContext { budget, phases, .. } = &*self.context;
+            let accepted = accept(&listener, ConnectionKind::Http2, budget, phases).await;
+            let connection_guard = phases.track_connection();
+            let frontend = self.clone();
+            tokio::task::spawn_local(async move {
+                let _held = (permit, connection_guard);
+                frontend.run_connection(accepted).await;
+            });
         }
     }
 
     /// Serves one connection and closes it. Its slot in the descriptor budget is held until then.
-    async fn run_connection(self: Rc<Self>, stream: TcpStream, slot: AcceptSlot) {
-        let stream = Rc::new(stream);
-        let slot = slot.accepted();
+    async fn run_connection(self: Rc<Self>, accepted: AcceptedConnection) {
+        let stream = Rc::new(accepted.stream);
+        let slot = accepted.slot.accepted();
         let end = connection::serve(&self, stream.clone(), &slot).await;
         // `h2` has sent its last frames. Bytes that still arrive are read, so that the close does not reset the
         // connection.
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -1,7 +1,7 @@
 //! Serves one HTTP/2 connection: preface, streams and graceful shutdown.
 
 use super::frame_guard::{FrameGuard, InspectedStream, Violation};
-use super::{ACCEPT_PAUSE, Http2Frontend, stream};
+use super::{Http2Frontend, stream};
 use crate::core::{Transport, seconds};
 use crate::frontend::closing::{CloseReason, ServiceEnd, SharedStream};
 use crate::resources::descriptors::ClientSlot;
@@ -22,6 +22,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout};
 
+/// Pause before the first bytes of a client are looked at again, if they are not enough to detect its protocol.
+const PREFACE_RECHECK_PAUSE: Duration = Duration::from_millis(10);
 /// Time-out of the last write to a connection that is being closed.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay of a timer that is not needed: longer than any connection waits for its next event.
@@ -147,7 +149,7 @@
         }
         if peeked == peeked_before {
             // The socket is readable already, so the runtime does not report further bytes.
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            tokio::time::sleep(PREFACE_RECHECK_PAUSE).await;
         }
         peeked_before = peeked;
     }
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -1,5 +1,6 @@
 //! The frontends. Each parses the requests of one protocol, has the core serve them and encodes the answers.
 
+pub mod accept;
 pub mod admin;
 pub mod block;
 pub mod closing;
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -150,7 +150,7 @@
         let argument = argument();
         self.usage.begin();
         let result = catch_unwind(AssertUnwindSafe(|| self.run(hook, argument)));
-        let time = self.usage.elapsed();
+        let time = self.usage.processor_time();
         match result {
             Ok(Ok(())) if time > MAX_CALL_TIME => self.record_failure(hook, &CallError::Slow(time)),
             Ok(Ok(())) => hook.consecutive_failures.set(0),
--- a/src/plugin/engine.rs
+++ b/src/plugin/engine.rs
@@ -10,11 +10,12 @@
     Package,
 };
 use rhai::{Dynamic, Engine, EvalAltResult, ImmutableString, NativeCallContext};
+use rustix::time::{ClockId, clock_gettime};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Longest time of one call. Checked between two steps of the script.
+/// Longest processor time of one call. Checked between two steps of the script.
 pub(super) const MAX_CALL_TIME: Duration = Duration::from_millis(5);
 /// Upper bound of `max_size`, in elements: it bounds the time of one native function.
 pub(super) const MAX_SIZE_LIMIT: usize = 4096;
@@ -36,23 +37,36 @@
 /// What the call in progress has used, shared with the engine's callbacks.
 pub(super) struct CallUsage {
     began: Cell<Instant>,
+    /// Processor time of the thread when the call began.
+    processor_time_before: Cell<Duration>,
     lines: Cell<u32>,
 }
 
 impl CallUsage {
     pub(super) fn new() -> Rc<CallUsage> {
-        Rc::new(CallUsage { began: Cell::new(Instant::now()), lines: Cell::new(0) })
+        Rc::new(CallUsage {
+            began: Cell::new(Instant::now()),
+            processor_time_before: Cell::default(),
+            lines: Cell::new(0),
+        })
     }
 
     /// Notes that a call begins.
     pub(super) fn begin(&self) {
         self.began.set(Instant::now());
+        self.processor_time_before.set(thread_processor_time());
         self.lines.set(0);
     }
 
-    /// Time since the call began.
-    pub(super) fn elapsed(&self) -> Duration {
-        self.began.get().elapsed()
+    /// Processor time that the call has taken. Time for which the thread was not run does not count.
+    pub(super) fn processor_time(&self) -> Duration {
+        thread_processor_time().saturating_sub(self.processor_time_before.get())
+    }
+
+    /// Whether the call has taken more than [`MAX_CALL_TIME`]. The processor time is read only if that is possible, since
+    /// reading it costs a system call.
+    fn is_out_of_time(&self) -> bool {
+        self.began.get().elapsed() > MAX_CALL_TIME && self.processor_time() > MAX_CALL_TIME
     }
 
     /// Counts a line that the script logs. Returns whether it may be logged.
@@ -63,6 +77,12 @@
     }
 }
 
+/// Processor time that this thread has taken so far.
+fn thread_processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::try_from(time).unwrap_or_default()
+}
+
 /// Creates a script engine with the configured limits.
 pub(super) fn limited_engine(config: &PluginConfig, usage: &Rc<CallUsage>) -> Engine {
     let max_size = config.max_size.clamp(1, MAX_SIZE_LIMIT);
@@ -77,7 +97,7 @@
     engine.set_max_string_size(max_size * STRING_BYTES_PER_ELEMENT);
     engine.disable_symbol("eval");
     let call = usage.clone();
-    engine.on_progress(move |_| (call.elapsed() > MAX_CALL_TIME).then(|| Dynamic::from("out of time")));
+    engine.on_progress(move |_| call.is_out_of_time().then(|| Dynamic::from("out of time")));
     let call = usage.clone();
     engine.on_print(move |text| {
         if call.count_line() {
--- a/src/resources/descriptors/usage.rs
+++ b/src/resources/descriptors/usage.rs
@@ -34,7 +34,7 @@
     }
 
     /// Name in log lines and of the exported gauge.
-    pub(super) fn name(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             ConnectionKind::Http => "http",
             ConnectionKind::Http2 => "http2",
