Plug-in test: the loop that fills the budget is sized to the machine

Cause: the test took for granted that 4,000 iterations take under the 5 ms of a call. Change: the loop is the first power of two of iterations that takes a fifth of the limit on this machine. The bounds (5 ms, a fifth, 10 s) are unchanged; the test asks in addition that the hook itself is still on, so that only the budget can end it.

--- a/src/plugin/tests.rs
+++ b/src/plugin/tests.rs
@@ -139,13 +139,30 @@
         budget.take(second(0.004), second(now))
     });
     assert!((30..100).contains(&calls_until_empty.count()), "0.2 s, at 0.8 of the time");
-    let steps = PluginConfig { max_steps: 20_000, ..deployed_limits() };
-    let plugin = plugin("fn on_request(r) { for i in 0..4000 { let x = i; } }", &steps);
+    let plugin = looping_plugin(iterations_below_the_limit());
     let began = Instant::now();
     while !plugin.is_switched_off.get() {
         plugin.call(&plugin.request_hook, Map::new);
         assert!(began.elapsed() < Duration::from_secs(10), "it takes all the time and stays on");
     }
+    assert!(plugin.request_hook.is_on(), "its calls are below the limit, so that the budget alone ends them");
+}
+
+/// A script whose hook runs a loop of so many iterations.
+fn looping_plugin(iterations: u32) -> Plugin {
+    let config = PluginConfig { max_steps: u64::MAX, ..deployed_limits() };
+    plugin(&format!("fn on_request(r) {{ for i in 0..{iterations} {{ let x = i; }} }}"), &config)
+}
+
+/// Number of iterations whose call takes well below [`MAX_CALL_TIME`] on this machine and far more than nothing: the
+/// first power of two that takes a fifth of it.
+fn iterations_below_the_limit() -> u32 {
+    let takes_a_fifth = |iterations: &u32| {
+        let plugin = looping_plugin(*iterations);
+        plugin.call(&plugin.request_hook, Map::new);
+        plugin.usage.processor_time() >= MAX_CALL_TIME / 5
+    };
+    (0..u32::BITS).map(|bit| 1 << bit).find(takes_a_fifth).expect("some loop takes a millisecond")
 }
 
 /// Guards against a panic in a function that would take a request's task with it.
