--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -14,7 +14,7 @@
 use flaxgap::metrics::counters::Counters;
 use flaxgap::node::{NodeTransport, NodeTransportSettings};
 use flaxgap::resources::descriptors::DescriptorBudget;
-use flaxgap::resources::memory::BodyMemory;
+use flaxgap::resources::memory::MemoryBudget;
 use flaxgap::scheduler::{SchedulerSettings, UpdateKind};
 use flaxgap_membership::SourceCursor;
 use flaxgap_membership::compact::CompactList;
@@ -75,7 +75,7 @@
         let dispatcher = Dispatcher::new(settings.clone(), seed, Clock::start(), counters.clone())
             .map_err(|problem| ScaleError::Settings(problem.to_string()))?;
         let budget = DescriptorBudget::new(SOCKETS, counters.clone());
-        let memory = BodyMemory::new(MEMORY_MB);
+        let memory = MemoryBudget::new(MEMORY_MB);
         let (connect_timeout, conn_idle) = (notes.connect_timeout, notes.conn_idle);
         let nodes = NodeTransport::new(
             budget,
--- a/src/config/limits.rs
+++ b/src/config/limits.rs
@@ -1,15 +1,11 @@
 //! Resource limits of a head's process.
 
+use crate::resources::memory::MemoryPlan;
 use serde::Deserialize;
 
 /// Descriptors set aside for each pending request: one for its client connection, the others for its attempts at nodes
 /// and for idle connections.
 const DESCRIPTORS_PER_PENDING_REQUEST: usize = 3;
-/// Memory for connection buffers, in KB for each MB of the memory limit: a quarter of it.
-const CONNECTION_BUFFERS_KB_PER_MB: usize = 256;
-/// Memory used by the buffers of one connection, in KB.
-const CONNECTION_BUFFERS_KB: usize = 24;
-
 /// Resource limits of a head's process, as configured.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
@@ -20,12 +16,10 @@
 }
 
 impl Limits {
-    /// Maximum number of open file descriptors, reduced if the memory limit has no room for the buffers of as many
-    /// connections.
+    /// Maximum number of open file descriptors, reduced if the memory limit has no room for as many connections
+    /// without a request.
     pub fn descriptors(&self) -> usize {
-        let within_memory =
-            self.memory_mb.saturating_mul(CONNECTION_BUFFERS_KB_PER_MB) / CONNECTION_BUFFERS_KB;
-        self.sockets.min(within_memory)
+        self.sockets.min(MemoryPlan::new(self.memory_mb).idle_connections)
     }
 
     /// Maximum number of client requests pending at the same time.
--- a/src/core/upload.rs
+++ b/src/core/upload.rs
@@ -7,8 +7,8 @@
 //! (`node::client_check`).
 
 use crate::core::content::IncompleteBody;
-use crate::resources::memory::{BodyMemory, MemoryReservation};
-use bytes::Bytes;
+use crate::resources::memory::{MemoryBudget, MemoryReservation};
+use bytes::{Bytes, BytesMut};
 use futures_core::Stream;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -28,36 +28,59 @@
     fn pause(self: Pin<&mut Self>);
 }
 
+/// Size of the blocks that hold bytes read ahead. Frames are copied into them, since a short frame would keep the whole
+/// buffer of the read alive that it came with.
+const BLOCK_BYTES: usize = 16 * 1024;
+
 /// Bytes read before an attempt takes the body.
 #[derive(Default)]
 struct ReadAhead {
-    chunks: VecDeque<Bytes>,
-    /// Total length of the chunks, in bytes.
+    /// Bytes read before the upload was created, which hold a reservation of their own.
+    beginning: Option<Bytes>,
+    blocks: VecDeque<BytesMut>,
+    /// Total length of the bytes in the blocks.
     length: usize,
-    /// Reservation of body memory for the chunks.
+    /// Reservation of body memory for the blocks.
     reservation: Option<MemoryReservation>,
 }
 
 impl ReadAhead {
-    fn push(&mut self, chunk: Bytes) {
-        self.length += chunk.len();
-        self.chunks.push_back(chunk);
+    fn push(&mut self, frame: &[u8]) {
+        self.length += frame.len();
+        let mut rest = frame;
+        while !rest.is_empty() {
+            let block = self.block_with_room();
+            let (fitting, remaining) = rest.split_at(rest.len().min(BLOCK_BYTES - block.len()));
+            block.extend_from_slice(fitting);
+            rest = remaining;
+        }
+    }
+
+    fn block_with_room(&mut self) -> &mut BytesMut {
+        if self.blocks.back().is_none_or(|block| block.len() == BLOCK_BYTES) {
+            self.blocks.push_back(BytesMut::with_capacity(BLOCK_BYTES));
+        }
+        let last = self.blocks.len() - 1;
+        &mut self.blocks[last]
     }
 
     fn pop(&mut self) -> Option<Bytes> {
-        let chunk = self.chunks.pop_front()?;
-        self.length -= chunk.len();
+        if let Some(beginning) = self.beginning.take() {
+            return Some(beginning);
+        }
+        let block = self.blocks.pop_front()?;
+        self.length -= block.len();
         self.release_unused();
-        Some(chunk)
+        Some(block.freeze())
     }
 
-    /// Releases reserved memory that no chunk uses.
+    /// Releases reserved memory that no block uses.
     fn release_unused(&mut self) {
-        if self.chunks.is_empty() {
+        if self.blocks.is_empty() {
             self.reservation = None;
         }
         if let Some(reservation) = &mut self.reservation {
-            reservation.shrink_to(self.length);
+            reservation.shrink_to(self.blocks.len() * BLOCK_BYTES);
         }
     }
 }
@@ -69,7 +92,7 @@
 pub struct UploadStream {
     source: RefCell<Pin<Box<dyn UploadSource>>>,
     read_ahead: RefCell<ReadAhead>,
-    memory: Rc<BodyMemory>,
+    memory: Rc<MemoryBudget>,
     /// Whether an attempt has taken the body to send it.
     taken: Cell<bool>,
     /// Length of the complete body in bytes, if known.
@@ -112,14 +135,12 @@
         source: Pin<Box<dyn UploadSource>>,
         length: Option<u64>,
         response_timeout: Duration,
-        memory: Rc<BodyMemory>,
+        memory: Rc<MemoryBudget>,
     ) -> Rc<UploadStream> {
         let now = Instant::now();
         let received = beginning.len() as u64;
-        let mut read_ahead = ReadAhead::default();
-        if !beginning.is_empty() {
-            read_ahead.push(beginning);
-        }
+        let beginning = Some(beginning).filter(|beginning| !beginning.is_empty());
+        let read_ahead = ReadAhead { beginning, ..ReadAhead::default() };
         Rc::new(UploadStream {
             source: RefCell::new(source),
             read_ahead: RefCell::new(read_ahead),
@@ -267,9 +288,8 @@
         });
         match next.await {
             Some(Ok(chunk)) => {
-                let length = chunk.len();
-                self.read_ahead.borrow_mut().push(chunk);
-                Ok(length)
+                self.read_ahead.borrow_mut().push(&chunk);
+                Ok(chunk.len())
             }
             Some(Err(error)) => Err(error),
             None => std::future::pending().await,
--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -19,8 +19,9 @@
 use crate::metrics::export;
 use crate::node::{NodeTransport, NodeTransportSettings};
 use crate::plugin::Plugin;
+use crate::resources::admission::Admission;
 use crate::resources::descriptors::DescriptorBudget;
-use crate::resources::memory::BodyMemory;
+use crate::resources::memory::MemoryBudget;
 use crate::shedding::controller::{ControllerParts, SheddingController};
 use crate::shedding::level_file::LevelFile;
 use flaxgap_streams::Http2;
@@ -94,7 +95,7 @@
     /// Budget of file descriptors.
     pub(super) descriptors: Rc<DescriptorBudget>,
     /// Memory budget for request and response bodies.
-    pub(super) memory: Rc<BodyMemory>,
+    pub(super) memory: Rc<MemoryBudget>,
     /// Transport of requests to nodes, with its connection pools.
     pub(super) nodes: Rc<NodeTransport>,
     /// Endpoint directory, which holds the endpoint list in use.
@@ -121,7 +122,8 @@
         let wire_settings = &config.wire_settings;
         let dispatcher = Dispatcher::new(settings.clone(), config.seed, Clock::start(), counters.clone())?;
         let descriptors = DescriptorBudget::new(config.limits.descriptors(), counters.clone());
-        let memory = BodyMemory::new(config.limits.memory_mb);
+        let memory = MemoryBudget::new(config.limits.memory_mb);
+        counters.set_memory(memory.clone());
         let nodes = NodeTransport::new(
             descriptors.clone(),
             memory.clone(),
@@ -199,6 +201,7 @@
             phases: self.lifecycle.clone(),
             budget: self.descriptors.clone(),
             memory: self.memory.clone(),
+            admission: Admission::new(self.memory.clone(), self.descriptors.clone(), self.counters.clone()),
             counters: self.counters.clone(),
         })
     }
--- a/src/discovery/relays/tests.rs
+++ b/src/discovery/relays/tests.rs
@@ -6,7 +6,7 @@
 use crate::metrics::counters::Counters;
 use crate::node::{NodeTransport, NodeTransportSettings};
 use crate::resources::descriptors::DescriptorBudget;
-use crate::resources::memory::BodyMemory;
+use crate::resources::memory::MemoryBudget;
 use crate::scheduler::UpdateKind;
 use flaxgap_distribution::selection::{Locality, RelayInfo};
 use flaxgap_membership::SourceCursor;
@@ -36,7 +36,7 @@
     let budget = DescriptorBudget::new(100, counters.clone());
     let nodes = NodeTransport::new(
         budget,
-        BodyMemory::new(64),
+        MemoryBudget::new(64),
         counters.clone(),
         NodeTransportSettings { connect_timeout_s: 0.5, node_idle_timeout_s: 15.0, heads: 1 },
     );
--- a/src/frontend/block/listener.rs
+++ b/src/frontend/block/listener.rs
@@ -41,12 +41,8 @@
 /// How a connection has to be closed after its service.
 fn service_end(served: &Result<(), SessionError>) -> ServiceEnd {
     match served {
-        Err(SessionError::Reclaimed { logged_in: false }) => {
-            ServiceEnd { reason: CloseReason::NothingOwed, reclaimed: true }
-        }
-        Err(SessionError::Reclaimed { logged_in: true }) => {
-            ServiceEnd { reason: CloseReason::Done, reclaimed: true }
-        }
+        Err(SessionError::Reclaimed { logged_in: false }) => ServiceEnd::reclaimed(CloseReason::NothingOwed),
+        Err(SessionError::Reclaimed { logged_in: true }) => ServiceEnd::reclaimed(CloseReason::Done),
         _ => ServiceEnd::not_reclaimed(CloseReason::Done),
     }
 }
--- a/src/frontend/closing.rs
+++ b/src/frontend/closing.rs
@@ -5,6 +5,7 @@
 
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::ClientSlot;
+use crate::resources::memory::MAX_BODY_BYTES;
 use std::future::Future;
 use std::io;
 use std::net::Shutdown;
@@ -46,12 +47,20 @@
     pub reason: CloseReason,
     /// Whether the connection had to close because descriptors ran short.
     pub reclaimed: bool,
+    /// Number of bytes still to come of a request that was answered before the end of its body. The client may read its
+    /// answer only after it has sent them.
+    pub unread_body_bytes: u64,
 }
 
 impl ServiceEnd {
     /// The end of a connection that closes for another reason than short descriptors.
     pub fn not_reclaimed(reason: CloseReason) -> ServiceEnd {
-        ServiceEnd { reason, reclaimed: false }
+        ServiceEnd { reason, reclaimed: false, unread_body_bytes: 0 }
+    }
+
+    /// The end of a connection that closes because descriptors ran short.
+    pub fn reclaimed(reason: CloseReason) -> ServiceEnd {
+        ServiceEnd { reason, reclaimed: true, unread_body_bytes: 0 }
     }
 }
 
@@ -77,37 +86,42 @@
             slot.reclaimed().await;
         }
     };
-    let discarded_bytes = discard_until_end(stream, descriptors_short).await;
+    let body_bytes = usize::try_from(end.unread_body_bytes.min(MAX_BODY_BYTES)).unwrap_or(usize::MAX);
+    let discarded_bytes = discard_until_end(stream, body_bytes, descriptors_short).await;
     if discarded_bytes > 0 {
         counters.lingered.add();
         log::debug!("http: bytes discarded at the close of a connection, bytes={discarded_bytes}");
     }
 }
 
-/// Reads and discards bytes until the client closes its side, the time is over or [`MAX_DISCARDED_BYTES`] is reached.
+/// Reads and discards bytes until the client closes its side, the time is over, or [`MAX_DISCARDED_BYTES`] are reached
+/// beyond the `body_bytes` of a body that is still to come. While that body arrives, the time begins anew with each read.
 /// Returns the number of bytes.
-async fn discard_until_end(stream: &TcpStream, descriptors_short: impl Future<Output = ()>) -> usize {
+async fn discard_until_end(
+    stream: &TcpStream,
+    body_bytes: usize,
+    descriptors_short: impl Future<Output = ()>,
+) -> usize {
     let mut descriptors_short = pin!(descriptors_short);
     let mut are_short = false;
-    let lingers_since = Instant::now();
-    let mut discard_until = lingers_since + LINGER_TIMEOUT;
+    let mut lingers_since = Instant::now();
     let mut discarded_bytes = 0;
-    let mut buffer = [0; READ_BYTES];
-    while discarded_bytes < MAX_DISCARDED_BYTES {
+    while discarded_bytes < MAX_DISCARDED_BYTES + body_bytes {
+        let linger_timeout = if are_short { LINGER_TIMEOUT_DESCRIPTORS_SHORT } else { LINGER_TIMEOUT };
         tokio::select! {
             biased;
-            () = descriptors_short.as_mut(), if !are_short => {
-                are_short = true;
-                discard_until = lingers_since + LINGER_TIMEOUT_DESCRIPTORS_SHORT;
-            }
-            () = sleep_until(discard_until) => break,
-            ready = stream.readable() => match ready.and_then(|()| stream.try_read(&mut buffer)) {
+            () = descriptors_short.as_mut(), if !are_short => are_short = true,
+            () = sleep_until(lingers_since + linger_timeout) => break,
+            ready = stream.readable() => match ready.and_then(|()| stream.try_read(&mut [0; READ_BYTES])) {
                 Ok(0) => break,
                 Ok(count) => discarded_bytes += count,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
                 Err(_) => break,
             }
         }
+        if discarded_bytes < body_bytes && !are_short {
+            lingers_since = Instant::now();
+        }
     }
     discarded_bytes
 }
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -3,18 +3,16 @@
 use crate::core::{Client, Transport};
 use crate::frontend::accept::accept;
 use crate::frontend::closing::{self, CloseReason, ServiceEnd};
-use crate::frontend::intake::{ConnectionState, MAX_HEAD_BYTES, MAX_HEAD_FIELDS, RequestReader};
+use crate::frontend::intake::{ConnectionState, ExchangeError, Exchanges};
 use crate::frontend::request::{FrontendContext, ResponseBody};
 use crate::resources::descriptors::{AcceptSlot, ClientSlot, ConnectionKind};
 use flaxgap_streams::frames::{FrameHeader, kind};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::server::conn::http1;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -25,6 +23,9 @@
 /// The response to a client that stopped in the middle of a request head, when descriptors run short.
 const HEAD_INCOMPLETE_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// The response to a client whose long head there is no memory for.
+const OVERLOADED_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// How long after its acceptance a connection is kept open for its first request while the program shuts down.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
 /// Interval at which a connection is checked for a disconnected client while a request is served whose body is not read
@@ -153,10 +154,9 @@
     /// when a head, a body or the reading of an answer times out.
     async fn serve(&self, stream: &TcpStream) -> ServiceEnd {
         let state = &self.state;
-        let io = TokioIo::new(RequestReader::new(state.clone()));
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEAD_FIELDS);
-        let mut connection = pin!(builder.serve_connection(io, TowerToHyperService::new(self.clone())));
+        let service = TowerToHyperService::new(self.clone());
+        let memory = self.frontend.context.memory.clone();
+        let mut exchanges = Exchanges::new(state.clone(), memory, service);
         let opened_at = Instant::now();
         let mut shutdown = pin!(self.shutdown(opened_at));
         let mut timeout = pin!(sleep_until(state.timeout_at().unwrap_or(opened_at)));
@@ -178,7 +178,7 @@
             }
             tokio::select! {
                 biased;
-                result = connection.as_mut() => break self.library_ended(result, stream),
+                result = poll_fn(|cx| exchanges.poll(cx)) => break self.exchanges_ended(result, stream),
                 () = self.slot.reclaimed() => {
                     reclaimed = true;
                     state.request_close();
@@ -215,11 +215,12 @@
                 }
             }
         };
-        match reason {
+        let reason = match reason {
             // The client has read its answer or will read it with the end of the connection: all that it sent is read.
-            CloseReason::Done if body_rejected => ServiceEnd { reason: CloseReason::NothingOwed, reclaimed },
-            reason => ServiceEnd { reason, reclaimed },
-        }
+            CloseReason::Done if body_rejected => CloseReason::NothingOwed,
+            reason => reason,
+        };
+        ServiceEnd { reason, reclaimed, unread_body_bytes: exchanges.unread_body_bytes() }
     }
 
     /// Waits until the program shuts down and the connection has been open for [`FIRST_REQUEST_GRACE`], since its first
@@ -230,8 +231,8 @@
         sleep_until(opened_at + FIRST_REQUEST_GRACE).await;
     }
 
-    /// Returns why the connection closes after hyper's future has completed.
-    fn library_ended(&self, result: hyper::Result<()>, stream: &TcpStream) -> CloseReason {
+    /// Returns why the connection closes after its exchanges have ended.
+    fn exchanges_ended(&self, result: Result<(), ExchangeError>, stream: &TcpStream) -> CloseReason {
         if let Err(error) = &result {
             log::debug!("http: connection ended: {error}");
         }
@@ -240,7 +241,15 @@
             let written = stream.try_write(&http1_required_frames());
             log::debug!("http: HTTP_1_1_REQUIRED sent, result={written:?}");
         }
-        let answer_broken = result.is_err_and(|error| error.is_user());
-        if answer_broken { CloseReason::AnswerBroken } else { CloseReason::Done }
+        match result {
+            Err(ExchangeError::Http(error)) if error.is_user() => CloseReason::AnswerBroken,
+            Err(ExchangeError::NoMemory) => {
+                self.frontend.context.counters.rejected_memory.add();
+                let written = stream.try_write(OVERLOADED_RESPONSE);
+                log::debug!("http: no memory for a head, result={written:?}");
+                CloseReason::Done
+            }
+            _ => CloseReason::Done,
+        }
     }
 }
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -52,7 +52,7 @@
     stream: Rc<TcpStream>,
     slot: &ClientSlot,
 ) -> ServiceEnd {
-    const DONE: ServiceEnd = ServiceEnd { reason: CloseReason::Done, reclaimed: false };
+    let done = ServiceEnd::not_reclaimed(CloseReason::Done);
     let counters = &frontend.context.counters;
     counters.client_connections.add();
     counters.http2_connections.add();
@@ -66,22 +66,22 @@
     let preface = tokio::select! {
         preface = timeout(handshake_timeout, read_preface(&stream)) => preface,
         () = slot.reclaimed() => {
-            return ServiceEnd { reason: CloseReason::NothingOwed, reclaimed: true };
+            return ServiceEnd::reclaimed(CloseReason::NothingOwed);
         }
     };
     match preface {
         Ok(Ok(Preface::Http2)) => {}
         Ok(Ok(Preface::Other(error))) => {
             reject(frontend, stream, error).await;
-            return DONE;
+            return done;
         }
         Ok(Err(error)) => {
             log::debug!("http2: {error}");
-            return DONE;
+            return done;
         }
         Err(_) => {
             log::debug!("http2: connection preface timed out");
-            return DONE;
+            return done;
         }
     }
     let guard = FrameGuard::new(FrameBudgets::new(frontend.settings.frame_limits, 0.0), opened_at);
@@ -95,11 +95,11 @@
         Ok(Ok(library)) => library,
         Ok(Err(error)) => {
             log::debug!("http2: {error}");
-            return DONE;
+            return done;
         }
         Err(_) => {
             log::debug!("http2: handshake timed out");
-            return DONE;
+            return done;
         }
     };
     let (ended_sender, ended) = mpsc::unbounded_channel();
@@ -122,7 +122,10 @@
         shutdown_begun: false,
     };
     let cause = open.run().await;
-    ServiceEnd { reason: CloseReason::Done, reclaimed: cause == Some(Cause::Reclaimed) }
+    match cause {
+        Some(Cause::Reclaimed) => ServiceEnd::reclaimed(CloseReason::Done),
+        _ => done,
+    }
 }
 
 /// The protocol of a client, by its first bytes.
--- a/src/frontend/intake.rs
+++ b/src/frontend/intake.rs
@@ -4,10 +4,11 @@
 //! both can smuggle another one in its body. So each head is parsed here, with the parser that hyper uses, before it is
 //! passed to hyper, and no bytes after the head of a request with ambiguous framing are passed on.
 //!
-//! [`RequestReader`] is the socket that hyper reads and writes, `framing` finds where requests end, and
+//! `reader` is the socket that hyper reads and writes, [`Exchanges`] runs hyper while a request is in progress, `framing` finds where requests end, and
 //! [`ConnectionState`] is shared by the reader, the service and the task of the connection.
 
 mod connection_state;
+mod exchange;
 mod framing;
 mod reader;
 
@@ -15,5 +16,5 @@
 mod tests;
 
 pub use connection_state::ConnectionState;
+pub use exchange::{ExchangeError, Exchanges};
 pub use framing::{MAX_HEAD_BYTES, MAX_HEAD_FIELDS};
-pub use reader::RequestReader;
--- a/src/frontend/intake/connection_state.rs
+++ b/src/frontend/intake/connection_state.rs
@@ -1,5 +1,6 @@
 //! Progress of the requests on a client's connection, from which its time-outs follow and whether it may be closed.
 
+use super::reader::MAX_PIPELINED_BYTES;
 use crate::core::Client;
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::{ClientSlot, TRANSIT_GRACE};
@@ -62,7 +63,7 @@
     pub(super) stream: Rc<TcpStream>,
     /// The connection's slot in the descriptor budget, which follows the state of the requests.
     slot: Rc<ClientSlot>,
-    pub(super) counters: Rc<Counters>,
+    counters: Rc<Counters>,
     next_request: Cell<NextRequest>,
     current_request: Cell<CurrentRequest>,
     /// A part of an answer may not be written to the socket yet.
@@ -141,7 +142,7 @@
     /// Whether no part of a request has been received without a complete answer, and the last answer is written to the
     /// socket.
     pub fn is_idle(&self) -> bool {
-        !self.is_answer_due() && !self.is_next_arriving() && !self.unflushed.get()
+        self.is_answer_sent() && !self.is_next_arriving()
     }
 
     /// Whether a request is served whose body is not passed on to its end. Unread bytes of it may hide that the client
@@ -152,8 +153,7 @@
 
     /// Whether the client has stopped in the middle of a request head, and no other request is served.
     pub fn is_stalled_in_head(&self) -> bool {
-        let awaits_head = !self.is_answer_due() && self.is_next_arriving() && !self.unflushed.get();
-        awaits_head && self.is_stalled()
+        self.is_answer_sent() && self.is_next_arriving() && self.is_stalled()
     }
 
     /// Whether the client has stopped in the middle of a request body, and the request has no answer yet.
@@ -205,6 +205,19 @@
         self.current_request.get() != CurrentRequest::None
     }
 
+    /// Whether no request is in progress and the last answer is written to the socket.
+    pub(super) fn is_answer_sent(&self) -> bool {
+        !self.is_answer_due() && !self.unflushed.get()
+    }
+
+    /// Counts and logs that more pipelined bytes arrived than are buffered.
+    pub(super) fn record_flood(&self) {
+        self.counters.floods.add();
+        if self.counters.flood_log.is_due() {
+            log::info!("http: too many pipelined bytes, connection closes, max={MAX_PIPELINED_BYTES}");
+        }
+    }
+
     fn is_serving(&self) -> bool {
         matches!(self.current_request.get(), CurrentRequest::Serving { .. })
     }
--- a/src/frontend/intake/reader.rs
+++ b/src/frontend/intake/reader.rs
@@ -4,7 +4,8 @@
 
 use super::connection_state::ConnectionState;
 use super::framing::{self, MAX_HEAD_BYTES, Parsed, Part};
-use bytes::{Buf, BufMut, BytesMut};
+use crate::resources::memory::{MemoryBudget, MemoryReservation};
+use bytes::{Buf, BytesMut};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,14 +13,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Size of a read of heads and framing, in bytes.
+/// Size of a read of heads and framing, in bytes. As much may be buffered without a reservation of memory.
 const READ_BYTES: usize = 4096;
-/// Largest read of a body, in bytes. No read is larger than all earlier reads of the body together, so that while an
-/// upload waits, nearly all that the client has sent stays in the socket's receive buffer.
-const MAX_BODY_READ_BYTES: usize = 64 * 1024;
 /// Most bytes that are buffered of pipelined requests: one head of the largest size, as clients send one request at a
 /// time. Bytes beyond it are read and dropped, so that a client that closes its side is still noticed.
-const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES;
+pub(super) const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES;
 /// The first bytes from a client that speaks HTTP/2 (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2";
 
@@ -31,78 +29,170 @@
     released: usize,
     /// The part that follows the released bytes.
     next: Part,
-    /// Bytes of the current body that were read by [`try_read_body`](Self::try_read_body).
-    body_bytes_read: usize,
     /// More pipelined bytes have arrived than are buffered.
     pipeline_overflowed: bool,
+    memory: Rc<MemoryBudget>,
+    /// Reservation for the capacity of the buffer beyond [`READ_BYTES`].
+    reservation: Option<MemoryReservation>,
+}
+
+/// What [`RequestReader::poll_request`] waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// Bytes that hyper has to read: a complete head, or one that it rejects.
+    Request,
+    /// The client has closed its side, or sent bytes that are not read.
+    End,
 }
 
 impl RequestReader {
     /// Creates the reader of a connection from which nothing was read yet.
-    pub fn new(state: Rc<ConnectionState>) -> RequestReader {
+    pub fn new(state: Rc<ConnectionState>, memory: Rc<MemoryBudget>) -> RequestReader {
         RequestReader {
             state,
             buffered: BytesMut::new(),
             released: 0,
             next: Part::Head,
-            body_bytes_read: 0,
             pipeline_overflowed: false,
+            memory,
+            reservation: None,
+        }
+    }
+
+    /// Waits for the next request while hyper does not read.
+    pub fn poll_request(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<Arrival>> {
+        loop {
+            if self.poll_released().is_ready() {
+                return Poll::Ready(Ok(if self.released > 0 { Arrival::Request } else { Arrival::End }));
+            }
+            if ready!(self.poll_read_more(cx))? == 0 {
+                return Poll::Ready(Ok(Arrival::End));
+            }
         }
     }
 
+    /// Number of bytes still to come of the body of the latest request; the largest number if its length is unknown.
+    pub fn unread_body_bytes(&self) -> u64 {
+        match self.next {
+            Part::Head | Part::Unreadable => 0,
+            Part::Body { remaining } => remaining,
+            Part::ChunkSize | Part::Chunk { .. } | Part::Trailer => u64::MAX,
+        }
+    }
+
+    /// Whether all bytes of the requests so far are passed on, and none of a later one.
+    pub fn is_between_requests(&self) -> bool {
+        self.next == Part::Head && self.released == 0
+    }
+
     /// Whether the next bytes belong to a pipelined request: the request before it is not answered yet.
     fn is_pipelined(&self) -> bool {
         self.state.is_answer_due() && self.next == Part::Head
     }
 
     /// Reads bytes that have arrived into the buffer. Returns their number, 0 if the client has closed its side.
-    fn try_read(&mut self) -> io::Result<usize> {
-        let state = self.state.clone();
-        if matches!(self.next, Part::Body { .. } | Part::Chunk { .. }) {
-            return self.try_read_body();
-        }
+    fn poll_read_more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut bytes = [0; READ_BYTES];
-        let count = state.stream.try_read(&mut bytes)?;
-        self.buffer(&bytes[..count]);
-        Ok(count)
+        let count = ready!(self.poll_receive(cx, &mut bytes))?;
+        self.buffer(&bytes[..count])?;
+        Poll::Ready(Ok(count))
     }
 
-    /// Reads bytes of a body into the buffer.
-    fn try_read_body(&mut self) -> io::Result<usize> {
-        let max_bytes = self.body_bytes_read.clamp(READ_BYTES, MAX_BODY_READ_BYTES);
-        self.buffered.reserve(max_bytes);
-        let count = self.state.stream.try_read_buf(&mut (&mut self.buffered).limit(max_bytes))?;
-        self.body_bytes_read += count;
-        Ok(count)
+    /// Reads bytes of a body past the buffer, which is empty. `remaining` bytes are still to come. Returns the number
+    /// read, 0 if the client has closed its side.
+    fn poll_read_body(
+        &mut self,
+        cx: &mut Context<'_>,
+        remaining: u64,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let max_bytes = buf.remaining().min(usize::try_from(remaining).unwrap_or(usize::MAX));
+        let count = ready!(self.poll_receive(cx, buf.initialize_unfilled_to(max_bytes)))?;
+        buf.advance(count);
+        if count > 0 {
+            self.body_bytes_passed(remaining - count as u64);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads from the socket.
+    fn poll_receive(&self, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.state.stream.poll_read_ready(cx))?;
+            match self.state.stream.try_read(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(count) => {
+                    if count > 0 {
+                        self.state.bytes_received();
+                    }
+                    return Poll::Ready(Ok(count));
+                }
+            }
+        }
     }
 
     /// Buffers bytes that were read. Drops those of requests that will not be served.
-    fn buffer(&mut self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// [`io::ErrorKind::OutOfMemory`] if there is no memory for a long head.
+    fn buffer(&mut self, bytes: &[u8]) -> io::Result<()> {
         if self.next == Part::Unreadable {
-            return;
+            return Ok(());
         }
-        if self.is_pipelined() {
-            self.pipeline_overflowed |= self.buffered.len() + bytes.len() > MAX_PIPELINED_BYTES;
-            if self.pipeline_overflowed {
-                return;
-            }
+        let is_pipelined = self.is_pipelined();
+        let is_too_long = is_pipelined && self.buffered.len() + bytes.len() > MAX_PIPELINED_BYTES;
+        self.pipeline_overflowed |= is_too_long;
+        if self.pipeline_overflowed {
+            return Ok(());
+        }
+        if !self.make_room(bytes.len()) {
+            self.pipeline_overflowed = is_pipelined;
+            return if is_pipelined { Ok(()) } else { Err(io::ErrorKind::OutOfMemory.into()) };
+        }
+        if is_pipelined {
             self.state.request_arriving();
         }
         self.buffered.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Makes room in the buffer, with its memory reserved. Returns whether there is room.
+    fn make_room(&mut self, count: usize) -> bool {
+        let needed = self.buffered.len() + count;
+        if needed <= READ_BYTES || self.reserved_bytes() >= needed {
+            return true;
+        }
+        let capacity = (2 * needed).min(MAX_PIPELINED_BYTES).max(needed);
+        let Some(reservation) = self.memory.try_reserve_buffer(capacity) else { return false };
+        let mut buffered = BytesMut::with_capacity(capacity);
+        buffered.extend_from_slice(&self.buffered);
+        self.buffered = buffered;
+        self.reservation = Some(reservation);
+        true
+    }
+
+    fn reserved_bytes(&self) -> usize {
+        self.reservation.as_ref().map_or(0, MemoryReservation::bytes)
+    }
+
+    /// Frees the buffer once all of it is passed on.
+    fn free_empty_buffer(&mut self) {
+        if self.buffered.is_empty() {
+            self.buffered = BytesMut::new();
+            self.reservation = None;
+        }
     }
 
     /// Releases the buffered bytes of the next part, so that they may be passed on.
     fn release(&mut self) {
         match self.next {
             Part::Head => self.release_head(),
-            Part::Body { remaining } => match self.release_body(remaining) {
-                0 => self.request_ended(),
-                remaining => self.next = Part::Body { remaining },
-            },
-            Part::Chunk { remaining } => match self.release_body(remaining) {
-                0 => self.next = Part::ChunkSize,
-                remaining => self.next = Part::Chunk { remaining },
-            },
+            Part::Body { remaining } | Part::Chunk { remaining } => {
+                self.released = self.buffered.len().min(usize::try_from(remaining).unwrap_or(usize::MAX));
+                self.body_bytes_passed(remaining - self.released as u64);
+            }
             Part::ChunkSize => self.release_framing(framing::parse_chunk_size(&self.buffered)),
             Part::Trailer => {
                 self.release_framing(framing::parse_trailer(&self.buffered));
@@ -149,18 +239,21 @@
         }
     }
 
-    /// Releases the buffered bytes of a body of which `remaining` bytes are still to come. Returns how many are to come
-    /// after them.
-    fn release_body(&mut self, remaining: u64) -> u64 {
+    /// Notes that bytes of a body or chunk are passed on, after which `remaining` bytes of it are still to come.
+    fn body_bytes_passed(&mut self, remaining: u64) {
         self.state.body_arriving();
-        self.released = self.buffered.len().min(usize::try_from(remaining).unwrap_or(usize::MAX));
-        remaining - self.released as u64
+        match self.next {
+            Part::Body { .. } if remaining == 0 => self.request_ended(),
+            Part::Body { .. } => self.next = Part::Body { remaining },
+            Part::Chunk { .. } if remaining == 0 => self.next = Part::ChunkSize,
+            Part::Chunk { .. } => self.next = Part::Chunk { remaining },
+            Part::Head | Part::ChunkSize | Part::Trailer | Part::Unreadable => {}
+        }
     }
 
     /// Notes that the last byte of the request is released.
     fn request_ended(&mut self) {
         self.next = Part::Head;
-        self.body_bytes_read = 0;
         self.state.body_ended();
         if self.buffered.len() > self.released {
             self.state.request_arriving();
@@ -173,6 +266,24 @@
         buf.put_slice(&self.buffered[..count]);
         self.buffered.advance(count);
         self.released -= count;
+        self.free_empty_buffer();
+    }
+
+    /// Releases buffered bytes. Ready once some are released, or once the connection has to end since pipelined bytes
+    /// were dropped.
+    fn poll_released(&mut self) -> Poll<()> {
+        if self.released == 0 && !self.buffered.is_empty() && !self.is_pipelined() {
+            self.release();
+        }
+        if self.released > 0 {
+            return Poll::Ready(());
+        }
+        if self.pipeline_overflowed && !self.is_pipelined() {
+            // The buffered requests have been served. The rest was dropped, so it is unknown where the next one begins.
+            self.state.record_flood();
+            return Poll::Ready(());
+        }
+        Poll::Pending
     }
 
     fn poll_send(
@@ -199,28 +310,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let this = &mut *self;
         loop {
-            if this.released == 0 && !this.buffered.is_empty() && !this.is_pipelined() {
-                this.release();
-            }
-            if this.released > 0 {
-                this.pass_on(buf);
+            if self.poll_released().is_ready() {
+                self.pass_on(buf);
                 return Poll::Ready(Ok(()));
             }
-            if this.pipeline_overflowed && !this.is_pipelined() {
-                // The buffered requests have been served. The rest was dropped, so it is unknown where the next one
-                // begins.
-                this.state.counters.floods.add();
-                log::info!("http: too many pipelined bytes, connection closes, max={MAX_PIPELINED_BYTES}");
-                return Poll::Ready(Ok(()));
+            if let Part::Body { remaining } | Part::Chunk { remaining } = self.next {
+                return self.poll_read_body(cx, remaining, buf);
             }
-            ready!(this.state.stream.poll_read_ready(cx))?;
-            match this.try_read() {
-                Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => this.state.bytes_received(),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
+            if ready!(self.poll_read_more(cx))? == 0 {
+                return Poll::Ready(Ok(()));
             }
         }
     }
--- a/src/frontend/request.rs
+++ b/src/frontend/request.rs
@@ -15,19 +15,24 @@
 use crate::core::{Call, Client, Dispatcher, NodeRequest, Operation, Transport, seconds};
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::metrics::counters::{Counters, FinalOutcome, InFlightRequest};
+use crate::resources::admission::{Admission, Overload, SlowTransferPermit};
 use crate::resources::descriptors::DescriptorBudget;
-use crate::resources::memory::{BodyError, BodyMemory, GatheredBody};
+use crate::resources::memory::{BodyError, GatheredBody, MemoryBudget};
 use bytes::Bytes;
 use fields::RequestFields;
 use hyper::body::Body;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use paced_body::PacedBody;
+use paced_body::{PacedBody, SlowTransfer};
 use response::plain;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use thiserror::Error;
+use tokio::time::{Instant, timeout};
 
+/// How long a body may take to arrive before its client counts as slow. A client's system sends what it holds sooner.
+const FAST_BODY_TIME: Duration = Duration::from_millis(100);
 /// Longest body that is buffered completely, in bytes. Only a request with a buffered body can be sent again.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
@@ -43,8 +48,10 @@
     pub phases: Rc<Lifecycle>,
     /// Limits the file descriptors of connections.
     pub budget: Rc<DescriptorBudget>,
-    /// Limits the memory for buffered bodies.
-    pub memory: Rc<BodyMemory>,
+    /// Limits the memory held for peers.
+    pub memory: Rc<MemoryBudget>,
+    /// Rejects requests for which resources are short.
+    pub admission: Rc<Admission>,
     /// Counters of the process.
     pub counters: Rc<Counters>,
 }
@@ -77,15 +84,23 @@
             Err(error) => return self.reject(&error),
         };
         let in_flight = self.counters.track_request(fields.class);
+        let permit = match self.admission.admit_request() {
+            Ok(permit) => permit,
+            Err(overload) => return reject_overloaded(overload, &in_flight),
+        };
         // Boxed, so that the future's memory is freed once the body has been read.
         let call = Box::pin(self.read_call(request, fields, body_grace, client)).await;
-        match call.and_then(|call| self.claim_id(call)) {
+        let call = call.and_then(|call| self.claim_id(call));
+        let mut response = match call {
             Ok(call) => self.serve(call, in_flight).await,
-            Err(error) => {
+            Err(CallError::Overloaded(overload)) => reject_overloaded(overload, &in_flight),
+            Err(CallError::BadRequest(error)) => {
                 in_flight.finish(FinalOutcome::Failed);
                 self.reject(&error)
             }
-        }
+        };
+        response.body_mut().hold(permit);
+        response
     }
 
     /// Answers the status paths of the head itself. Returns `None` for any other path.
@@ -116,11 +131,11 @@
     }
 
     /// Claims the request id of a call. A node would take a second request with the same id for a copy of the first.
-    fn claim_id(&self, call: Call) -> Result<Call, BadRequest> {
+    fn claim_id(&self, call: Call) -> Result<Call, CallError> {
         if self.dispatcher.claim_request_id(&call.node_request.id) {
             Ok(call)
         } else {
-            Err(BadRequest::Duplicate)
+            Err(BadRequest::Duplicate.into())
         }
     }
 
@@ -142,7 +157,7 @@
         fields: RequestFields,
         body_grace: Duration,
         client: Option<Rc<dyn Client>>,
-    ) -> Result<Call, BadRequest>
+    ) -> Result<Call, CallError>
     where
         B: Body<Data = Bytes> + Unpin + 'static,
     {
@@ -182,7 +197,7 @@
         body: B,
         operation: Operation,
         body_grace: Duration,
-    ) -> Result<ReadBody<B>, BadRequest>
+    ) -> Result<ReadBody<B>, CallError>
     where
         B: Body<Data = Bytes> + Unpin,
     {
@@ -190,35 +205,87 @@
         let mut body = PacedBody::new(body, body_grace);
         let is_read = operation == Operation::Read;
         if is_read && length.is_some_and(|length| length > 0) {
-            return Err(BadRequest::Length);
+            return Err(BadRequest::Length.into());
         }
         let is_too_long_to_buffer = length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
         let max_bytes = if is_too_long_to_buffer { 0 } else { MAX_BUFFERED_BYTES };
-        let buffered = self.memory.gather(&mut body, max_bytes, None).await.map_err(|error| match error {
-            BodyError::TooLong => BadRequest::TooLong,
-            BodyError::Broken(error) => error,
-        })?;
+        let (buffered, permit) = self.gather(&mut body, max_bytes).await?;
         if is_read && !(buffered.is_complete && buffered.bytes.is_empty()) {
-            return Err(BadRequest::Length);
+            return Err(BadRequest::Length.into());
+        }
+        let permit = match permit {
+            None if !buffered.is_complete => Some(self.admission.admit_slow_transfer()?),
+            permit => permit.filter(|_| !buffered.is_complete),
+        };
+        Ok(ReadBody { buffered, rest: body, length, permit })
+    }
+
+    /// Receives the beginning of a body. A client that takes longer than [`FAST_BODY_TIME`] counts as a slow transfer
+    /// from then on.
+    async fn gather<B>(
+        &self,
+        body: &mut PacedBody<B>,
+        max_bytes: usize,
+    ) -> Result<(GatheredBody, Option<SlowTransferPermit>), CallError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut gathering = pin!(self.memory.gather(body, max_bytes, None));
+        let (gathered, permit) = match timeout(FAST_BODY_TIME, gathering.as_mut()).await {
+            Ok(gathered) => (gathered, None),
+            Err(_) => {
+                let permit = self.admission.admit_slow_transfer()?;
+                (gathering.await, Some(permit))
+            }
+        };
+        Ok((gathered?, permit))
+    }
+}
+
+/// Why no call could be built from a request.
+#[derive(Debug, Error)]
+enum CallError {
+    /// The request can't be served.
+    #[error(transparent)]
+    BadRequest(#[from] BadRequest),
+    /// Resources are short.
+    #[error(transparent)]
+    Overloaded(#[from] Overload),
+}
+
+impl From<BodyError<BadRequest>> for CallError {
+    fn from(error: BodyError<BadRequest>) -> CallError {
+        match error {
+            BodyError::TooLong => BadRequest::TooLong.into(),
+            BodyError::Broken(error) => error.into(),
         }
-        Ok(ReadBody { buffered, rest: body, length })
     }
 }
 
+/// Returns the response to a request that is rejected because resources are short, and counts it. It was not sent to any
+/// node.
+fn reject_overloaded(overload: Overload, in_flight: &InFlightRequest) -> Response<ResponseBody> {
+    log::debug!("http: request rejected, short of={overload}");
+    in_flight.finish(FinalOutcome::Rejected);
+    response::overloaded()
+}
+
 /// A request body that is buffered in part or completely.
 struct ReadBody<B> {
     buffered: GatheredBody,
     rest: PacedBody<B>,
     length: Option<u64>,
+    /// Held for as long as the rest is received.
+    permit: Option<SlowTransferPermit>,
 }
 
 impl<B: Body<Data = Bytes> + Unpin + 'static> ReadBody<B> {
     /// Returns the payload for a node. `response_timeout` is how long the client waits after the last byte of the body.
-    fn into_payload(self, response_timeout: Duration, memory: &Rc<BodyMemory>) -> Payload {
+    fn into_payload(self, response_timeout: Duration, memory: &Rc<MemoryBudget>) -> Payload {
         if self.buffered.is_complete {
             return Payload::Buffered(self.buffered.bytes);
         }
-        let rest = Box::pin(self.rest);
+        let rest = Box::pin(SlowTransfer { body: self.rest, _permit: self.permit });
         let beginning = self.buffered.bytes;
         let upload = UploadStream::new(beginning, rest, self.length, response_timeout, memory.clone());
         Payload::Streamed(upload)
--- a/src/frontend/request/paced_body.rs
+++ b/src/frontend/request/paced_body.rs
@@ -4,6 +4,7 @@
 use super::error::BadRequest;
 use crate::core::content::IncompleteBody;
 use crate::core::upload::UploadSource;
+use crate::resources::admission::SlowTransferPermit;
 use crate::resources::memory::MAX_BODY_BYTES;
 use bytes::Bytes;
 use futures_core::Stream;
@@ -125,3 +126,23 @@
         self.end_wait();
     }
 }
+
+/// The rest of a long body, with its place among the slow transfers, which is released with it.
+pub(super) struct SlowTransfer<B> {
+    pub(super) body: PacedBody<B>,
+    pub(super) _permit: Option<SlowTransferPermit>,
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Stream for SlowTransfer<B> {
+    type Item = Result<Bytes, IncompleteBody>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        Pin::new(&mut self.body).poll_next(cx)
+    }
+}
+
+impl<B: Body<Data = Bytes> + Unpin> UploadSource for SlowTransfer<B> {
+    fn pause(mut self: Pin<&mut Self>) {
+        Pin::new(&mut self.body).pause();
+    }
+}
--- a/src/frontend/request/response.rs
+++ b/src/frontend/request/response.rs
@@ -3,6 +3,7 @@
 use crate::core::Answer;
 use crate::core::content::{ByteStream, IncompleteBody, StreamedBody};
 use crate::metrics::counters::{FinalOutcome, InFlightRequest};
+use crate::resources::admission::RequestPermit;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -10,6 +11,9 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+/// How long a client should wait that was rejected because resources were short, in seconds.
+const OVERLOADED_RETRY_AFTER_S: f64 = 1.0;
+
 /// The body of a response, buffered or streamed from a node. The outcome of the request is recorded at its end.
 pub struct ResponseBody {
     buffered: Option<Bytes>,
@@ -18,6 +22,8 @@
     remaining: Option<u64>,
     request: Option<InFlightRequest>,
     on_end: Option<Box<dyn FnOnce()>>,
+    /// The memory of the request, released with its answer.
+    permit: Option<RequestPermit>,
 }
 
 impl ResponseBody {
@@ -25,7 +31,7 @@
     fn new(content: StreamedBody, request: Option<InFlightRequest>) -> ResponseBody {
         let StreamedBody { buffered, rest, length } = content;
         let buffered = Some(buffered).filter(|buffered| !buffered.is_empty());
-        let body = ResponseBody { buffered, rest, remaining: length, request, on_end: None };
+        let body = ResponseBody { buffered, rest, remaining: length, request, on_end: None, permit: None };
         if body.rest.is_none() {
             body.record_outcome(FinalOutcome::Served);
         }
@@ -37,6 +43,11 @@
         self.on_end = Some(Box::new(on_end));
     }
 
+    /// Keeps the memory of the request reserved until the body is dropped.
+    pub(super) fn hold(&mut self, permit: RequestPermit) {
+        self.permit = Some(permit);
+    }
+
     fn record_outcome(&self, outcome: FinalOutcome) {
         if let Some(request) = &self.request {
             request.finish(outcome);
@@ -120,6 +131,11 @@
     }
 }
 
+/// Returns the response to a request that is rejected because resources are short.
+pub(super) fn overloaded() -> Response<ResponseBody> {
+    rejected(OVERLOADED_RETRY_AFTER_S)
+}
+
 fn rejected(retry_after_s: f64) -> Response<ResponseBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, come again\n");
     if retry_after_s > 0.0 {
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -18,7 +18,7 @@
 use crate::exclusions::Exclusions;
 use crate::lifecycle::Lifecycle;
 use crate::resources::descriptors::DescriptorBudget;
-use crate::resources::memory::BodyMemory;
+use crate::resources::memory::MemoryBudget;
 use crate::scheduler::Event;
 use crate::shedding::controller::SheddingController;
 use message::{Message, MessageDecoder};
@@ -47,7 +47,7 @@
     /// The budget of file descriptors, scaled to this process's share.
     pub descriptors: Rc<DescriptorBudget>,
     /// The memory for request and response bodies, scaled to this process's share.
-    pub memory: Rc<BodyMemory>,
+    pub memory: Rc<MemoryBudget>,
     /// The lifecycle, which controls whether this process accepts client connections.
     pub lifecycle: Rc<Lifecycle>,
     /// The nodes excluded by operators, stored in the state folder.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -3,6 +3,10 @@
 //! Standard error is often a pipe. If its reader stops, a write to it blocks, and with it all that the caller's thread
 //! does. Lines that do not fit in the queue are dropped and counted; the count is logged once the reader goes on.
 
+mod interval;
+
+pub use interval::LogInterval;
+
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
--- a/src/metrics/counters.rs
+++ b/src/metrics/counters.rs
@@ -3,15 +3,17 @@
 //! The admin server, the exporters and the log all read the same [`Counters`]. Its fields are named like the exported
 //! metrics, and must not be renamed, because dashboards refer to them.
 
+use crate::logging::LogInterval;
 use crate::metrics::event_loop::LongestTurn;
 use crate::resources::descriptors::{ConnectionKind, SlotState, SlotUsage};
+use crate::resources::memory::MemoryBudget;
 use crate::scheduler::{AttemptOutcome, ClassId};
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::fmt;
 use std::rc::Rc;
 
 /// Exported names of the gauges; all others are counters.
-const GAUGES: [&str; 13] = [
+const GAUGES: [&str; 17] = [
     "in_flight",
     "level",
     "halls_reduced",
@@ -25,6 +27,10 @@
     "slots_incomplete",
     "slots_idle",
     "slots_closing",
+    "memory_bodies",
+    "memory_exchanges",
+    "memory_limit",
+    "memory_resident",
 ];
 /// Counters that the Prometheus exposition reports for each class instead of in total.
 const OUTCOME_COUNTERS: [&str; 3] = ["served", "refused", "failed"];
@@ -103,8 +109,11 @@
             in_flight: Cell<u64>,
             shedding: Cell<SheddingGauges>,
             slots: Cell<SlotUsage>,
+            memory: OnceCell<Rc<MemoryBudget>>,
             /// The longest recent turn of the event loop.
             pub longest_turn: LongestTurn,
+            /// Limits the log lines on clients that pipeline too many bytes.
+            pub flood_log: LogInterval,
             classes: Vec<ClassCounters>,
         }
 
@@ -113,6 +122,7 @@
             pub fn figures(&self) -> Vec<(&'static str, u64)> {
                 let shedding = self.shedding.get();
                 let slots = self.slots.get();
+                let memory = self.memory.get().map(|memory| memory.usage()).unwrap_or_default();
                 let slots_of = |kind| slots.open(kind) as u64;
                 let slots_in = |state| slots.in_state(state) as u64;
                 vec![
@@ -130,6 +140,10 @@
                     ("slots_incomplete", slots_in(SlotState::Incomplete)),
                     ("slots_idle", slots_in(SlotState::Idle)),
                     ("slots_closing", slots_in(SlotState::Closing)),
+                    ("memory_bodies", memory.body_bytes as u64),
+                    ("memory_exchanges", memory.exchange_bytes as u64),
+                    ("memory_limit", memory.limit_bytes as u64),
+                    ("memory_resident", self.memory.get().map_or(0, |_| resident_bytes())),
                 ]
             }
         }
@@ -238,6 +252,12 @@
     reclaimed,
     /// Waits of a frontend for a descriptor slot, one for each connection that could not be accepted at once.
     slot_waits,
+    /// Requests rejected because the memory for requests was in use.
+    rejected_memory,
+    /// Requests rejected because nearly all descriptors carried requests.
+    rejected_descriptors,
+    /// Requests rejected because slow transfers held all that they may hold together.
+    rejected_slow,
     /// Endpoint lists and updates that changed the endpoints.
     list_changes,
     /// Watches on the endpoint list that ended.
@@ -319,6 +339,11 @@
         self.slots.set(slots);
     }
 
+    /// Sets the memory budget whose use the gauges report. Only the first call has an effect.
+    pub fn set_memory(&self, memory: Rc<MemoryBudget>) {
+        self.memory.get_or_init(|| memory);
+    }
+
     /// Starts to count a request of a class; it is not counted as accepted yet.
     pub fn track_request(self: &Rc<Self>, class: ClassId) -> InFlightRequest {
         InFlightRequest {
@@ -374,6 +399,14 @@
     }
 }
 
+/// Resident memory of this process, in bytes; 0 if the operating system does not tell.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kib.unwrap_or(0) * 1024
+}
+
 /// Whether the exported metric `name` is a gauge, whose value can decrease.
 pub fn is_gauge(name: &str) -> bool {
     GAUGES.contains(&name)
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -10,6 +10,7 @@
 use crate::core::content::Payload;
 use crate::core::{AttemptResult, NodeRequest, PermitExpired, SendPermit};
 use crate::resources::descriptors::ConnectionKind;
+use crate::resources::memory::MemoryReservation;
 use crate::scheduler::{AttemptOutcome, NodeId};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -101,11 +102,13 @@
     }
 
     async fn open_connection(&self) -> Option<NodeConnection> {
+        let memory = self.reserve_connection_memory()?;
         let slot = self.transport.descriptors.slot(ConnectionKind::Node)?;
         let connect_deadline = Instant::now() + self.transport.connect_timeout;
         let open_deadline = connect_deadline.min(self.guard.permit.latest_start());
         self.transport.counters.node_connections.add();
-        match NodeConnection::open(self.address, slot, open_deadline, &self.transport.counters).await {
+        match NodeConnection::open(self.address, slot, memory, open_deadline, &self.transport.counters).await
+        {
             Ok(connection) => Some(connection),
             Err(error) => {
                 log::debug!("node: connect failed, address={}: {error}", self.address);
@@ -114,6 +117,15 @@
         }
     }
 
+    /// Reserves the memory of a new connection; if it is not free, an idle connection is closed for it.
+    fn reserve_connection_memory(&self) -> Option<MemoryReservation> {
+        let memory = &self.transport.memory;
+        memory.try_reserve_node_connection().or_else(|| {
+            self.transport.descriptors.close_idle_node_connection();
+            memory.try_reserve_node_connection()
+        })
+    }
+
     /// The outcome of an attempt that got no connection. It is not counted as a failure of the node if the retry window
     /// ended, the shutdown deadline passed or the client disconnected meanwhile.
     fn classify_connect_failure(&self) -> AttemptOutcome {
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -7,6 +7,7 @@
 use super::stream::InstrumentedStream;
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::ConnectionSlot;
+use crate::resources::memory::MemoryReservation;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::future::{Future, poll_fn};
@@ -40,6 +41,8 @@
     pub(super) progress: Rc<ExchangeProgress>,
     /// The connection's slot in the descriptor budget.
     pub(super) slot: ConnectionSlot,
+    /// Reservation for the connection's buffers.
+    _memory: MemoryReservation,
     /// When the connection was opened or last returned to the pool.
     pub(super) idle_since: Instant,
     /// Whether the HTTP connection has ended, so that it must not be polled again.
@@ -55,6 +58,7 @@
     pub(super) async fn open(
         address: SocketAddr,
         slot: ConnectionSlot,
+        memory: MemoryReservation,
         deadline: Instant,
         counters: &Rc<Counters>,
     ) -> Result<NodeConnection, ConnectError> {
@@ -68,7 +72,15 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES);
         let (sender, http) = builder.handshake(io).await?;
-        Ok(NodeConnection { sender, http, progress, slot, idle_since: Instant::now(), ended: false })
+        Ok(NodeConnection {
+            sender,
+            http,
+            progress,
+            slot,
+            _memory: memory,
+            idle_since: Instant::now(),
+            ended: false,
+        })
     }
 
     /// Polls the connection while `work` uses it, and returns the output of `work`; `None` on a timeout. The time limit
--- a/src/node/response.rs
+++ b/src/node/response.rs
@@ -7,7 +7,7 @@
 use super::pool::ConnectionPool;
 use crate::core::AttemptResult;
 use crate::core::content::{IncompleteBody, StreamedBody};
-use crate::resources::memory::{BodyError, BodyMemory, GatheredBody, PartialBody};
+use crate::resources::memory::{BodyError, GatheredBody, MemoryBudget, PartialBody};
 use crate::scheduler::{AttemptOutcome, LoadReport, NodeId};
 use bytes::Bytes;
 use futures_core::Stream;
@@ -48,7 +48,7 @@
     /// Waits for the response and buffers its body: completely if it is short, otherwise its beginning.
     pub(super) async fn receive(
         response: impl Future<Output = hyper::Result<Response<Incoming>>>,
-        memory: &BodyMemory,
+        memory: &MemoryBudget,
     ) -> Result<NodeResponse, ResponseError> {
         let (head, mut body) = response.await?.into_parts();
         if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
--- a/src/node/tests/mod.rs
+++ b/src/node/tests/mod.rs
@@ -13,7 +13,7 @@
 use crate::core::{Client, NodeRequest, Operation};
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::DescriptorBudget;
-use crate::resources::memory::BodyMemory;
+use crate::resources::memory::MemoryBudget;
 use crate::scheduler::{NodeId, NodeState};
 use bytes::Bytes;
 use std::cell::RefCell;
@@ -73,7 +73,7 @@
     let counters = Rc::new(Counters::default());
     let settings = NodeTransportSettings { connect_timeout_s: 5.0, node_idle_timeout_s: 15.0, heads: 1 };
     let descriptors = DescriptorBudget::new(100, counters.clone());
-    let transport = NodeTransport::new(descriptors, BodyMemory::new(32), counters.clone(), settings);
+    let transport = NodeTransport::new(descriptors, MemoryBudget::new(32), counters.clone(), settings);
     (transport, counters)
 }
 
--- a/src/node/transport.rs
+++ b/src/node/transport.rs
@@ -9,7 +9,7 @@
 use crate::fleet::SMALL_FLEET_MAX_HEADS;
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::DescriptorBudget;
-use crate::resources::memory::BodyMemory;
+use crate::resources::memory::MemoryBudget;
 use crate::scheduler::{NodeId, NodeState};
 use bytes::Bytes;
 use std::cell::RefCell;
@@ -41,7 +41,7 @@
     pub(super) addresses: Rc<RefCell<AddressTable>>,
     pub(super) pool: Rc<ConnectionPool>,
     pub(super) descriptors: Rc<DescriptorBudget>,
-    pub(super) memory: Rc<BodyMemory>,
+    pub(super) memory: Rc<MemoryBudget>,
     pub(super) counters: Rc<Counters>,
     pub(super) connect_timeout: Duration,
 }
@@ -50,7 +50,7 @@
     /// Creates a transport with an empty address table.
     pub fn new(
         descriptors: Rc<DescriptorBudget>,
-        memory: Rc<BodyMemory>,
+        memory: Rc<MemoryBudget>,
         counters: Rc<Counters>,
         settings: NodeTransportSettings,
     ) -> Rc<NodeTransport> {
--- a/src/resources/descriptors.rs
+++ b/src/resources/descriptors.rs
@@ -12,6 +12,7 @@
 pub use slot::{AcceptSlot, ClientSlot, ConnectionSlot};
 pub use usage::{ConnectionKind, SlotState, SlotUsage};
 
+use crate::logging::LogInterval;
 use crate::metrics::counters::Counters;
 use reclaim::ReclaimLists;
 use slot::SlotRecord;
@@ -34,14 +35,14 @@
 const NODE_RESERVE_DIVISOR: usize = 5;
 /// Divisor of the clients' slots that gives the floor of each frontend in service.
 const FLOOR_DIVISOR: usize = 8;
+/// Divisor of the clients' slots that gives those for connections whose requests are rejected.
+const REJECTION_RESERVE_DIVISOR: usize = 8;
 /// Divisor of the descriptor limit that gives the maximum number of client connections kept open while idle between two
 /// requests. All client connections together hold at most twice as many descriptors: without this maximum, idle ones
 /// would leave none for clients that open a connection for each request.
 const IDLE_CLIENTS_DIVISOR: usize = 6;
 /// Interval at which a waiting client retries to get a slot.
 const SLOT_RETRY_INTERVAL: Duration = Duration::from_millis(5);
-/// Least time between two log lines that say that a frontend waits for a slot.
-const SHORTAGE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a connection without a complete request is kept open after its last byte or, if there is none, after it was
 /// accepted, since the rest may be in transit.
 pub const TRANSIT_GRACE: Duration = Duration::from_millis(100);
@@ -59,8 +60,8 @@
     usage: Cell<SlotUsage>,
     /// Which frontends are in service, by kind of connection.
     in_service: Cell<[bool; ConnectionKind::ALL.len()]>,
-    /// When a frontend last logged that it waits for a slot.
-    shortage_logged_at: Cell<Option<Instant>>,
+    /// Limits the log lines that say that a frontend waits for a slot.
+    shortage_log: LogInterval,
     /// Notified when a slot is released.
     freed: Notify,
     next_order: Cell<CloseOrder>,
@@ -76,7 +77,7 @@
             share: Cell::new(1.0),
             usage: Cell::default(),
             in_service: Cell::default(),
-            shortage_logged_at: Cell::new(None),
+            shortage_log: LogInterval::default(),
             freed: Notify::new(),
             next_order: Cell::new(0),
             reclaimable: RefCell::default(),
@@ -146,8 +147,18 @@
         }
     }
 
+    /// Whether another request may be served: some slots are kept for connections whose requests are rejected at once,
+    /// since a client that is not accepted would have no answer at all.
+    ///
+    /// If nearly all slots carry requests, one whose client has stopped sending is requested to close instead.
+    pub fn has_room_for_request(&self) -> bool {
+        let limit = self.clients_limit();
+        let has_room = self.usage.get().carrying_requests() < limit - limit / REJECTION_RESERVE_DIVISOR;
+        has_room || self.close(self.next_stalled(|_| true))
+    }
+
     /// Number of slots in use up to which clients are accepted.
-    fn clients_limit(&self) -> usize {
+    pub fn clients_limit(&self) -> usize {
         self.budget() - self.budget() / NODE_RESERVE_DIVISOR
     }
 
@@ -167,13 +178,11 @@
         }
     }
 
-    /// Logs, at most once in [`SHORTAGE_LOG_INTERVAL`], that a frontend waits for a slot, and who holds them.
+    /// Logs, at most once a second, that a frontend waits for a slot, and who holds them.
     fn record_shortage(&self, kind: ConnectionKind) {
-        let is_recent = |at: Instant| at.elapsed() < SHORTAGE_LOG_INTERVAL;
-        if self.shortage_logged_at.get().is_some_and(is_recent) {
+        if !self.shortage_log.is_due() {
             return;
         }
-        self.shortage_logged_at.set(Some(Instant::now()));
         let (budget, usage) = (self.budget(), self.usage.get());
         log::warn!(
             "descriptors: no slot for a connection, kind={}, budget={budget}, slots: {usage}",
@@ -194,6 +203,11 @@
         self.close_next(|_| true)
     }
 
+    /// Closes the connection to a node that has been idle longest. Returns whether there was one.
+    pub fn close_idle_node_connection(&self) -> bool {
+        self.close_next(|kind| kind == ConnectionKind::Node)
+    }
+
     /// Requests a connection to close, so that one of this kind can take its slot. Returns whether there was one.
     fn close_for(&self, kind: ConnectionKind) -> bool {
         let usage = self.usage.get();
@@ -204,7 +218,12 @@
 
     /// Requests the next of the `eligible` connections to close. Returns whether there was one.
     fn close_next(&self, eligible: impl Fn(ConnectionKind) -> bool) -> bool {
-        let Some(record) = self.next_to_close(eligible) else { return false };
+        self.close(self.next_to_close(eligible))
+    }
+
+    /// Requests a connection to close. Returns whether there was one.
+    fn close(&self, record: Option<Rc<SlotRecord>>) -> bool {
+        let Some(record) = record else { return false };
         self.counters.reclaimed.add();
         self.change_state(&record, SlotState::Closing);
         record.request_close();
@@ -232,12 +251,15 @@
     /// longest, or else the one that has waited longest for the rest of a request. Those of which a request may be in
     /// transit are left out.
     fn next_to_close(&self, eligible: impl Fn(ConnectionKind) -> bool) -> Option<Rc<SlotRecord>> {
+        let oldest = |state| self.reclaimable.borrow().oldest(state, &eligible).cloned();
+        let unused = oldest(SlotState::Unused).filter(is_past_grace);
+        unused.or_else(|| oldest(SlotState::Idle)).or_else(|| self.next_stalled(&eligible))
+    }
+
+    /// The connection that has waited longest for the rest of a request, unless that may be in transit.
+    fn next_stalled(&self, eligible: impl Fn(ConnectionKind) -> bool) -> Option<Rc<SlotRecord>> {
         let reclaimable = self.reclaimable.borrow();
-        let is_past_grace = |record: &&Rc<SlotRecord>| record.listed_at.get().elapsed() >= TRANSIT_GRACE;
-        let unused = reclaimable.oldest(SlotState::Unused, &eligible).filter(is_past_grace);
-        let idle = || reclaimable.oldest(SlotState::Idle, &eligible);
-        let incomplete = || reclaimable.oldest(SlotState::Incomplete, &eligible).filter(is_past_grace);
-        unused.or_else(idle).or_else(incomplete).cloned()
+        reclaimable.oldest(SlotState::Incomplete, eligible).filter(|record| is_past_grace(record)).cloned()
     }
 
     /// Changes the state of a slot. A connection that can be closed in its new state comes last in the order of closing.
@@ -263,5 +285,10 @@
     }
 }
 
+/// Whether nothing has been received on a connection for so long that nothing can be in transit.
+fn is_past_grace(record: &Rc<SlotRecord>) -> bool {
+    record.listed_at.get().elapsed() >= TRANSIT_GRACE
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/resources/descriptors/usage.rs
+++ b/src/resources/descriptors/usage.rs
@@ -126,6 +126,11 @@
         ConnectionKind::ALL.iter().map(|kind| self.open(*kind)).sum()
     }
 
+    /// Number of slots whose connections carry a request, or a part of one.
+    pub(super) fn carrying_requests(&self) -> usize {
+        self.in_state(SlotState::InUse) + self.in_state(SlotState::Incomplete)
+    }
+
     /// Number of all slots whose connections were not requested to close.
     pub fn total_staying_open(&self) -> usize {
         self.total() - self.in_state(SlotState::Closing)
--- a/src/resources/memory.rs
+++ b/src/resources/memory.rs
@@ -1,61 +1,46 @@
-//! Limit on the memory that request and response bodies use together.
+//! The budget of memory that the head holds for its peers.
+//!
+//! Whoever holds bytes for a peer reserves them first, by the capacity of the buffer that holds them, and nothing is
+//! read for which there is no room: the sender is then subject to backpressure. The budget counts request and response
+//! bodies, long heads and pipelined requests, and for each request in progress and each connection to a node a fixed
+//! amount that covers the buffers of the HTTP library. Connections without a request are covered by the part of the
+//! memory that the budget leaves free ([`MemoryPlan`]).
+
+mod body_buffer;
+mod plan;
+
+pub use body_buffer::{BodyError, GatheredBody, MAX_BODY_BYTES, PartialBody};
+pub use plan::MemoryPlan;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Body;
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use thiserror::Error;
 use tokio::sync::{Mutex, Notify};
-use tokio::time::{Instant, timeout_at};
-
-/// Memory not available to bodies: the program, the scheduler, connections and their buffers, in bytes.
-const RESERVED_BYTES: usize = 8 << 20;
-/// Lower bound of the limit in bytes, so that a machine with little memory can still serve requests.
-const MIN_LIMIT_BYTES: usize = RESERVED_BYTES / 4;
-/// Maximum length of a body in bytes, buffered or forwarded: far longer than any that clients of a head send or
-/// request.
-pub const MAX_BODY_BYTES: u64 = 33 << 20;
-
-/// Why a body could not be received.
-#[derive(Debug, Error)]
-pub enum BodyError<E> {
-    /// The body is longer than [`MAX_BODY_BYTES`].
-    #[error("body exceeds {MAX_BODY_BYTES} bytes")]
-    TooLong,
-    /// The body ended early, or its framing is invalid.
-    #[error("body incomplete or malformed: {0}")]
-    Broken(E),
-}
-
-/// The received beginning of a body.
-pub struct GatheredBody {
-    /// The received bytes.
-    pub bytes: Bytes,
-    /// Whether `bytes` is the complete body.
-    pub is_complete: bool,
-}
-
-/// Permits [`BodyMemory::gather`] to return before the body has ended.
-#[derive(Clone, Copy, Debug)]
-pub struct PartialBody {
-    /// When [`BodyMemory::gather`] returns what it has received, provided that it has received `min_bytes`.
-    pub deadline: Instant,
-    /// Number of bytes that [`BodyMemory::gather`] waits for even after `deadline`.
-    pub min_bytes: usize,
-}
 
-/// Divisor of the limit that gives the size of the overdraft, by which one reservation at a time may exceed the limit.
-/// Bodies that wait for a reservation may together hold all of the memory; without the overdraft, none of them could
-/// proceed. The limit itself leaves as much memory again free.
+/// Memory of a request in progress, in bytes: the read and write buffers of the HTTP library, the request's fields and
+/// its tasks.
+pub const REQUEST_BYTES: usize = 40 * 1024;
+/// Memory of a connection to a node, in bytes: the read and write buffers of the HTTP library.
+pub const NODE_CONNECTION_BYTES: usize = 28 * 1024;
+/// Divisor of the limit that gives the part that bodies leave free for requests and connections to nodes.
+const BODIES_DIVISOR: usize = 2;
+/// Divisor of the limit that gives the part that requests leave free for connections to nodes: accepting a request is
+/// useless if no connection to a node can be opened for it.
+const NODE_RESERVE_DIVISOR: usize = 5;
+/// Divisor of the bodies' limit that gives the size of the overdraft, by which one reservation at a time may exceed that
+/// limit. Bodies that wait for a reservation may together hold all memory for bodies; without the overdraft, none of
+/// them could proceed.
 const OVERDRAFT_DIVISOR: usize = 4;
 
-/// Number of bytes that bodies hold. Shared by the buffers, which may be dropped on any thread.
+/// Memory in use. Shared by the reservations, which may be dropped on any thread.
 #[derive(Default)]
 struct MemoryUsage {
-    bytes: AtomicUsize,
+    /// Bytes reserved for bodies, heads and pipelined requests.
+    body_bytes: AtomicUsize,
+    /// Bytes reserved for requests in progress and connections to nodes.
+    exchange_bytes: AtomicUsize,
     /// Whether the overdraft is held by a reservation.
     is_overdrawn: AtomicBool,
     /// Notified when bytes are released.
@@ -63,26 +48,38 @@
 }
 
 impl MemoryUsage {
-    /// Adds bytes and returns the new number of bytes in use.
-    fn add(&self, bytes: usize) -> usize {
-        self.bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
+    fn bytes(&self, purpose: Purpose) -> &AtomicUsize {
+        match purpose {
+            Purpose::Body => &self.body_bytes,
+            Purpose::Exchange => &self.exchange_bytes,
+        }
+    }
+
+    fn total(&self) -> usize {
+        self.body_bytes.load(Ordering::Relaxed) + self.exchange_bytes.load(Ordering::Relaxed)
     }
 
-    fn release(&self, bytes: usize) {
+    fn release(&self, purpose: Purpose, bytes: usize) {
         if bytes > 0 {
-            self.bytes.fetch_sub(bytes, Ordering::Relaxed);
+            self.bytes(purpose).fetch_sub(bytes, Ordering::Relaxed);
             self.released.notify_one();
         }
     }
+}
 
-    fn get(&self) -> usize {
-        self.bytes.load(Ordering::Relaxed)
-    }
+/// What a reservation is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// Bytes that a peer has sent: of a body, a long head or a pipelined request.
+    Body,
+    /// The fixed memory of a request in progress or of a connection to a node.
+    Exchange,
 }
 
-/// A reservation of memory for bodies, released when dropped.
+/// A reservation of memory, released when dropped.
 pub struct MemoryReservation {
     bytes: usize,
+    purpose: Purpose,
     /// Whether the reservation holds the overdraft.
     is_overdraft: bool,
     usage: Arc<MemoryUsage>,
@@ -98,7 +95,7 @@
     pub fn shrink_to(&mut self, bytes: usize) {
         let released = self.bytes.saturating_sub(bytes);
         self.bytes -= released;
-        self.usage.release(released);
+        self.usage.release(self.purpose, released);
     }
 
     /// Merges another reservation of the same memory into this one.
@@ -114,13 +111,31 @@
             self.usage.is_overdrawn.store(false, Ordering::Relaxed);
             self.usage.released.notify_one();
         }
-        self.usage.release(self.bytes);
+        self.usage.release(self.purpose, self.bytes);
     }
 }
 
-/// The memory budget that all bodies share.
-pub struct BodyMemory {
-    /// Number of bytes in use, shared with each buffer and reservation.
+/// Reserved memory at one moment, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReservedMemory {
+    /// Bytes of bodies, long heads and pipelined requests.
+    pub body_bytes: usize,
+    /// Bytes of requests in progress and connections to nodes.
+    pub exchange_bytes: usize,
+    /// Bytes that may be reserved in all.
+    pub limit_bytes: usize,
+}
+
+impl fmt::Display for ReservedMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ReservedMemory { body_bytes, exchange_bytes, limit_bytes } = self;
+        write!(f, "bodies={body_bytes} exchanges={exchange_bytes} limit={limit_bytes}")
+    }
+}
+
+/// The memory budget that all peers share.
+pub struct MemoryBudget {
+    /// Memory in use, shared with each reservation.
     in_use: Arc<MemoryUsage>,
     /// Held by the caller that waits for memory, so that waiting callers are served in order of arrival.
     reservation_queue: Mutex<()>,
@@ -130,42 +145,16 @@
     share: Cell<f64>,
 }
 
-/// A body's buffer, which releases its bytes when its last owner drops it.
-struct BodyBuffer {
-    bytes: BytesMut,
-    in_use: Arc<MemoryUsage>,
-}
-
-impl BodyBuffer {
-    /// Appends received bytes and returns whether memory is left for more.
-    fn append(&mut self, data: &[u8], limit: usize) -> bool {
-        let in_use = self.in_use.add(data.len());
-        self.bytes.extend_from_slice(data);
-        in_use < limit
-    }
-
-    /// Converts the buffer to shared bytes.
-    fn into_bytes(self) -> Bytes {
-        if self.bytes.is_empty() { Bytes::new() } else { Bytes::from_owner(self) }
-    }
-}
-
-impl AsRef<[u8]> for BodyBuffer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+impl fmt::Debug for MemoryBudget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("MemoryBudget").field(&self.usage()).finish()
     }
 }
 
-impl Drop for BodyBuffer {
-    fn drop(&mut self) {
-        self.in_use.release(self.bytes.len());
-    }
-}
-
-impl BodyMemory {
+impl MemoryBudget {
     /// Creates the budget for a machine with `memory_mb` MiB of memory.
-    pub fn new(memory_mb: usize) -> Rc<BodyMemory> {
-        let memory = BodyMemory {
+    pub fn new(memory_mb: usize) -> Rc<MemoryBudget> {
+        let memory = MemoryBudget {
             in_use: Arc::default(),
             reservation_queue: Mutex::new(()),
             limit: Cell::new(0),
@@ -177,10 +166,7 @@
 
     /// Changes the limit. Memory in use beyond a lower limit stays in use until it is dropped.
     pub fn set_limit(&self, memory_mb: usize) {
-        let machine_bytes = memory_mb.saturating_mul(1 << 20);
-        // Halved, because a buffer grows by doubling and the connection that sends the body buffers part of it.
-        let limit = machine_bytes.saturating_sub(RESERVED_BYTES) / 2;
-        self.limit.set(limit.max(MIN_LIMIT_BYTES));
+        self.limit.set(MemoryPlan::new(memory_mb).peer_bytes);
     }
 
     /// Changes this process's share of the limit, from 0 to 1.
@@ -190,18 +176,47 @@
 
     /// Fraction of this process's limit that is in use; above 1 if more than the limit is.
     pub fn used_fraction(&self) -> f64 {
-        let limit = self.limit.get() as f64 * self.share.get();
-        self.in_use.get() as f64 / limit.max(1.0)
+        self.in_use.total() as f64 / self.limit_bytes().max(1) as f64
+    }
+
+    /// What is reserved, by its purpose, and the limit.
+    pub fn usage(&self) -> ReservedMemory {
+        ReservedMemory {
+            body_bytes: self.in_use.body_bytes.load(Ordering::Relaxed),
+            exchange_bytes: self.in_use.exchange_bytes.load(Ordering::Relaxed),
+            limit_bytes: self.limit_bytes(),
+        }
     }
 
     /// This process's share of the limit, in bytes.
-    fn limit_bytes(&self) -> usize {
+    pub fn limit_bytes(&self) -> usize {
         (self.limit.get() as f64 * self.share.get()) as usize
     }
 
-    /// Reserves `bytes` bytes, or half of the limit if that is less, so that a single body never reserves all memory.
-    /// Waits until they are free; waiting callers are served in order of arrival. If they are not free, one reservation
-    /// at a time may instead exceed the limit, by up to a quarter of it.
+    /// The part of this process's limit that bodies may use, in bytes.
+    fn bodies_limit_bytes(&self) -> usize {
+        self.limit_bytes() / BODIES_DIVISOR
+    }
+
+    /// Reserves the memory of a request, or returns `None` if the rest is needed for connections to nodes.
+    pub fn try_reserve_request(&self) -> Option<MemoryReservation> {
+        let limit = self.limit_bytes();
+        self.reserve_exchange(REQUEST_BYTES, limit - limit / NODE_RESERVE_DIVISOR)
+    }
+
+    /// Reserves the memory of a connection to a node, or returns `None` if it is not free.
+    pub fn try_reserve_node_connection(&self) -> Option<MemoryReservation> {
+        self.reserve_exchange(NODE_CONNECTION_BYTES, self.limit_bytes())
+    }
+
+    fn reserve_exchange(&self, bytes: usize, limit: usize) -> Option<MemoryReservation> {
+        let fits = self.in_use.total() + bytes <= limit;
+        fits.then(|| self.reservation(Purpose::Exchange, bytes))
+    }
+
+    /// Reserves `bytes` bytes for a body, or half of the bodies' limit if that is less, so that a single body never
+    /// reserves all memory. Waits until they are free; waiting callers are served in order of arrival. If they are not
+    /// free, one reservation at a time may instead exceed the limit, by up to a quarter of it.
     pub async fn reserve(&self, bytes: usize) -> MemoryReservation {
         let _turn = self.reservation_queue.lock().await;
         loop {
@@ -212,75 +227,44 @@
         }
     }
 
-    /// Like [`BodyMemory::reserve`], but returns `None` instead of waiting or exceeding the limit. May overtake waiting
-    /// callers.
+    /// Like [`MemoryBudget::reserve`], but returns `None` instead of waiting or exceeding the limit. May overtake
+    /// waiting callers.
     pub fn try_reserve(&self, bytes: usize) -> Option<MemoryReservation> {
-        let limit = self.limit_bytes();
+        let limit = self.bodies_limit_bytes();
         self.reserve_within(bytes.min(limit / 2), limit)
     }
 
-    /// Reserves `bytes` bytes for optional work, or returns `None` if more than half of the limit would then be in use.
+    /// Reserves all of `bytes` bytes for a buffer, or returns `None` if they are not free.
+    pub fn try_reserve_buffer(&self, bytes: usize) -> Option<MemoryReservation> {
+        self.reserve_within(bytes, self.bodies_limit_bytes())
+    }
+
+    /// Reserves `bytes` bytes for optional work, or returns `None` if more than half of the bodies' limit would then be
+    /// in use.
     pub fn try_reserve_spare(&self, bytes: usize) -> Option<MemoryReservation> {
-        self.reserve_within(bytes, self.limit_bytes() / 2)
+        self.reserve_within(bytes, self.bodies_limit_bytes() / 2)
     }
 
     fn reserve_within(&self, bytes: usize, limit: usize) -> Option<MemoryReservation> {
-        if self.in_use.get() + bytes > limit {
-            return None;
-        }
-        Some(self.reservation(bytes, false))
+        let fits =
+            self.usage().body_bytes + bytes <= limit && self.in_use.total() + bytes <= self.limit_bytes();
+        fits.then(|| self.reservation(Purpose::Body, bytes))
     }
 
-    /// Reserves memory beyond the limit, unless another reservation holds the overdraft.
+    /// Reserves memory beyond the bodies' limit, unless another reservation holds the overdraft.
     fn overdraw(&self, bytes: usize) -> Option<MemoryReservation> {
         if self.in_use.is_overdrawn.swap(true, Ordering::Relaxed) {
             return None;
         }
-        Some(self.reservation(bytes.min(self.limit_bytes() / OVERDRAFT_DIVISOR), true))
+        let bytes = bytes.min(self.bodies_limit_bytes() / OVERDRAFT_DIVISOR);
+        let mut reservation = self.reservation(Purpose::Body, bytes);
+        reservation.is_overdraft = true;
+        Some(reservation)
     }
 
-    fn reservation(&self, bytes: usize, is_overdraft: bool) -> MemoryReservation {
-        self.in_use.add(bytes);
-        MemoryReservation { bytes, is_overdraft, usage: self.in_use.clone() }
-    }
-
-    /// Receives a body until it ends, the memory is used up, slightly more than `max_bytes` have been received, or
-    /// `partial` permits to return. The remaining bytes stay in `body`.
-    ///
-    /// # Errors
-    ///
-    /// [`BodyError::TooLong`] if the body's announced length exceeds [`MAX_BODY_BYTES`], [`BodyError::Broken`] if it
-    /// ends early or its framing is invalid.
-    pub async fn gather<B: Body<Data = Bytes> + Unpin>(
-        &self,
-        body: &mut B,
-        max_bytes: usize,
-        partial: Option<PartialBody>,
-    ) -> Result<GatheredBody, BodyError<B::Error>> {
-        let limit = self.limit_bytes();
-        if body.size_hint().lower() > MAX_BODY_BYTES {
-            return Err(BodyError::TooLong);
-        }
-        let mut buffer = BodyBuffer { bytes: BytesMut::new(), in_use: self.in_use.clone() };
-        let is_complete = loop {
-            if buffer.bytes.len() > max_bytes || body.is_end_stream() {
-                break body.is_end_stream();
-            }
-            let may_return_at = partial.filter(|partial| buffer.bytes.len() >= partial.min_bytes);
-            let frame = match may_return_at {
-                Some(partial) => match timeout_at(partial.deadline, body.frame()).await {
-                    Ok(frame) => frame,
-                    Err(_) => break false,
-                },
-                None => body.frame().await,
-            };
-            let Some(frame) = frame else { break true };
-            let data = frame.map_err(BodyError::Broken)?.into_data().unwrap_or_default();
-            if !buffer.append(&data, limit) {
-                break body.is_end_stream();
-            }
-        };
-        Ok(GatheredBody { bytes: buffer.into_bytes(), is_complete })
+    fn reservation(&self, purpose: Purpose, bytes: usize) -> MemoryReservation {
+        self.in_use.bytes(purpose).fetch_add(bytes, Ordering::Relaxed);
+        MemoryReservation { bytes, purpose, is_overdraft: false, usage: self.in_use.clone() }
     }
 }
 
--- a/src/resources/mod.rs
+++ b/src/resources/mod.rs
@@ -1,4 +1,5 @@
-//! Budgets of limited resources: file descriptors and memory for bodies.
+//! Budgets of limited resources, file descriptors and memory, and the admission of requests by what is left of them.
 
+pub mod admission;
 pub mod descriptors;
 pub mod memory;
--- a/src/shedding/controller.rs
+++ b/src/shedding/controller.rs
@@ -5,7 +5,7 @@
 use crate::core::{Dispatcher, seconds};
 use crate::lifecycle::Lifecycle;
 use crate::resources::descriptors::DescriptorBudget;
-use crate::resources::memory::BodyMemory;
+use crate::resources::memory::MemoryBudget;
 use crate::scheduler::SchedulerSettings;
 use crate::shedding::level_file::LevelFile;
 use crate::shedding::monitor::LoadMonitor;
@@ -31,7 +31,7 @@
     /// Provides the fraction of descriptors in use.
     pub descriptors: Rc<DescriptorBudget>,
     /// Provides the fraction of body memory in use.
-    pub memory: Rc<BodyMemory>,
+    pub memory: Rc<MemoryBudget>,
     /// Indicates whether a newer process has taken over.
     pub lifecycle: Rc<Lifecycle>,
     /// The scheduler's settings, from which the monitor takes classes and limits.
--- a/tests/directory_memory.rs
+++ b/tests/directory_memory.rs
@@ -9,7 +9,7 @@
 use flaxgap::metrics::counters::Counters;
 use flaxgap::node::{NodeAddress, NodeTransport, NodeTransportSettings};
 use flaxgap::resources::descriptors::DescriptorBudget;
-use flaxgap::resources::memory::BodyMemory;
+use flaxgap::resources::memory::MemoryBudget;
 use flaxgap::scheduler::{NodeId, NodeState, UpdateKind};
 use flaxgap_membership::compact::CompactList;
 use flaxgap_membership::list::{EndpointList, Entry, NodeState as ListedState};
@@ -60,7 +60,7 @@
 fn nodes(counters: &Rc<Counters>) -> Rc<NodeTransport> {
     NodeTransport::new(
         DescriptorBudget::new(100, counters.clone()),
-        BodyMemory::new(64),
+        MemoryBudget::new(64),
         counters.clone(),
         NodeTransportSettings { connect_timeout_s: 0.5, node_idle_timeout_s: 15.0, heads: 1 },
     )
--- a/tests/large_lists.rs
+++ b/tests/large_lists.rs
@@ -12,7 +12,7 @@
 use flaxgap::metrics::counters::Counters;
 use flaxgap::node::{NodeTransport, NodeTransportSettings};
 use flaxgap::resources::descriptors::DescriptorBudget;
-use flaxgap::resources::memory::BodyMemory;
+use flaxgap::resources::memory::MemoryBudget;
 use flaxgap::scheduler::{AttemptOutcome, NodeId, UpdateKind};
 use flaxgap_membership::SourceCursor;
 use flaxgap_membership::compact::CompactList;
@@ -55,7 +55,7 @@
         let budget = DescriptorBudget::new(100, counters.clone());
         let nodes = NodeTransport::new(
             budget,
-            BodyMemory::new(64),
+            MemoryBudget::new(64),
             counters.clone(),
             NodeTransportSettings { connect_timeout_s: 0.5, node_idle_timeout_s: 15.0, heads: 1 },
         );
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod closed_port;
+pub mod crowd;
 pub mod frames;
 pub mod initiator;
 pub mod recorder;
@@ -206,6 +207,13 @@
     }
 }
 
+/// Resident memory of a process, in KiB; 0 once it has ended.
+pub fn resident_kib(pid: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 /// Polls `holds` until it returns a value; panics after [`WAIT_TIMEOUT`].
 pub fn wait<O>(mut holds: impl FnMut() -> Option<O>) -> O {
     let end = Instant::now() + WAIT_TIMEOUT;
--- a/tests/peers/stand.rs
+++ b/tests/peers/stand.rs
@@ -8,8 +8,9 @@
 use flaxgap::lifecycle::Lifecycle;
 use flaxgap::metrics::counters::Counters;
 use flaxgap::node::{NodeAddress, NodeTransport, NodeTransportSettings};
+use flaxgap::resources::admission::Admission;
 use flaxgap::resources::descriptors::{ConnectionKind, DescriptorBudget};
-use flaxgap::resources::memory::BodyMemory;
+use flaxgap::resources::memory::MemoryBudget;
 use flaxgap::scheduler::{Endpoint, Event, NodeId, NodeState, ShardId, UpdateKind, ZoneId};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -34,7 +35,7 @@
         let (settings, notes) = flaxgap::config::read(SETTINGS.as_bytes()).expect("settings");
         let counters = Counters::new(&notes.class_names);
         let budget = DescriptorBudget::new(100, counters.clone());
-        let (phases, memory) = (Rc::new(Lifecycle::default()), BodyMemory::new(64));
+        let (phases, memory) = (Rc::new(Lifecycle::default()), MemoryBudget::new(64));
         let nodes = NodeTransport::new(
             budget.clone(),
             memory.clone(),
@@ -49,6 +50,7 @@
                 notes,
                 phases: phases.clone(),
                 budget: budget.clone(),
+                admission: Admission::new(memory.clone(), budget.clone(), counters.clone()),
                 memory,
                 counters: counters.clone(),
             }),
--- a/tests/races_http2.rs
+++ b/tests/races_http2.rs
@@ -6,8 +6,9 @@
 use flaxgap::frontend::{http2::Http2Frontend, request::FrontendContext};
 use flaxgap::lifecycle;
 use flaxgap::metrics::counters::Counters;
+use flaxgap::resources::admission::Admission;
 use flaxgap::resources::descriptors::DescriptorBudget;
-use flaxgap::resources::memory::BodyMemory;
+use flaxgap::resources::memory::MemoryBudget;
 use flaxgap::scheduler::{AttemptOutcome, Endpoint, Event, NodeId, NodeState, ShardId, UpdateKind, ZoneId};
 use rand_like::Draws;
 use std::cell::Cell;
@@ -79,13 +80,15 @@
         };
         dispatcher.notify(&[Event::EndpointUpdate { kind: UpdateKind::Snapshot, endpoints: vec![node] }]);
         let transport = Rc::new(Timed::default());
+        let (budget, memory) = (DescriptorBudget::new(1000, counters.clone()), MemoryBudget::new(64));
         let desk = Rc::new(FrontendContext {
             dispatcher: dispatcher.clone(),
             transport: transport.clone(),
             notes,
             phases: Rc::new(lifecycle::Lifecycle::default()),
-            budget: DescriptorBudget::new(1000, counters.clone()),
-            memory: BodyMemory::new(64),
+            admission: Admission::new(memory.clone(), budget.clone(), counters.clone()),
+            budget,
+            memory,
             counters: counters.clone(),
         });
         let text = "listen = \"127.0.0.1:0\"\nresets_a_second = 100000.0\n";
--- a/tests/scenarios_http.rs
+++ b/tests/scenarios_http.rs
@@ -186,8 +186,9 @@
     use flaxgap::frontend::request;
     use flaxgap::metrics::counters::Counters;
     use flaxgap::node::{NodeTransport, NodeTransportSettings};
+    use flaxgap::resources::admission::Admission;
     use flaxgap::resources::descriptors;
-    use flaxgap::resources::memory::BodyMemory;
+    use flaxgap::resources::memory::MemoryBudget;
     use flaxgap::{config, core, lifecycle};
     use std::rc::Rc;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -195,7 +196,7 @@
         let (settings, notes) = config::read(SETTINGS.as_bytes()).expect("settings");
         let counters = Rc::new(Counters::default());
         let budget = descriptors::DescriptorBudget::new(100, counters.clone());
-        let (phases, memory) = (Rc::new(lifecycle::Lifecycle::default()), BodyMemory::new(32));
+        let (phases, memory) = (Rc::new(lifecycle::Lifecycle::default()), MemoryBudget::new(32));
         let front = Rc::new(HttpFrontend {
             context: Rc::new(request::FrontendContext {
                 dispatcher: core::Dispatcher::new(settings, 1, core::Clock::start(), counters.clone())
@@ -209,6 +210,7 @@
                 notes,
                 phases: phases.clone(),
                 budget: budget.clone(),
+                admission: Admission::new(memory.clone(), budget.clone(), counters.clone()),
                 memory,
                 counters,
             }),
@@ -506,7 +508,7 @@
         let budget = descriptors::DescriptorBudget::new(100, counters.clone());
         let nodes = node::NodeTransport::new(
             budget,
-            memory::BodyMemory::new(32),
+            memory::MemoryBudget::new(32),
             counters,
             node::NodeTransportSettings { connect_timeout_s: 5.0, node_idle_timeout_s: 15.0, heads: 1 },
         );
@@ -571,7 +573,7 @@
         let counters = Rc::new(Counters::default());
         let nodes = node::NodeTransport::new(
             descriptors::DescriptorBudget::new(100, counters.clone()),
-            memory::BodyMemory::new(32),
+            memory::MemoryBudget::new(32),
             counters,
             node::NodeTransportSettings { connect_timeout_s: 15.0, node_idle_timeout_s: 15.0, heads: 1 },
         );
--- a/tests/scenarios_operators.rs
+++ b/tests/scenarios_operators.rs
@@ -37,6 +37,8 @@
         "app_list_age_seconds ",
         "app_discovery_silent_seconds ",
         "_longest_turn_us ",
+        "_memory_exchanges ",
+        "_memory_resident ",
         "app_slots_",
     ];
     varying.iter().any(|part| line.contains(part))
