A pause ends no answer that its node still writes, nor an upload its client's time

What callers saw: an answer whose node paused for 0.4 s after its head was cut off three times and then refused, though it would have been whole in time; an upload that its node read slowly was answered seconds after its client had stopped waiting. Cause: RESPONSE_STALL_TIMEOUT (250 ms from the last bytes) ended an attempt whose node worked on, and the scheduler cancelled one that later requests had overtaken. Once an attempt had taken a streamed body, only 5 s without progress ended it, and the client's time was counted from when its last byte was read, not sent. Change: core::ResponseWait. A cancellation is ignored once the head of the response has come. An upload's deadline runs from the moment at which its client may have sent its last byte: until all that it sent is read, and while more is to come than both systems buffer, it has not. While the node reads slowly the body is read ahead, as far as spare memory permits.

--- a/src/core/dispatcher.rs
+++ b/src/core/dispatcher.rs
@@ -10,7 +10,8 @@
 use crate::core::{AttemptResult, Clock, Observer, ShutdownDeadline, seconds};
 use crate::metrics::counters::Counters;
 use crate::scheduler::{
-    Action, AttemptOutcome, Class, Event, Idempotency, RequestId, SchedulerSettings, SchedulerSettingsError,
+    Action, AttemptOutcome, Class, ClassId, Event, Idempotency, RequestId, SchedulerSettings,
+    SchedulerSettingsError,
 };
 use bytes::Bytes;
 use std::cell::RefCell;
@@ -56,6 +57,10 @@
     pub(super) counters: Rc<Counters>,
     pub(super) observer: RefCell<Option<Rc<dyn Observer>>>,
     pub(super) shutdown_deadline: Rc<ShutdownDeadline>,
+    /// By class: whether a request may be sent again after an attempt that a node may have executed.
+    retryable_classes: Vec<bool>,
+    /// Maximum number of attempts of a request.
+    max_attempts: usize,
     /// By class: how long after its first attempt that a node may have executed a request may be retried.
     pub(super) retry_windows: Vec<Option<Duration>>,
     clock: Clock,
@@ -79,6 +84,9 @@
         let tick = seconds(settings.tick_s);
         let retry_windows = settings.classes.iter().map(retry_window).collect();
         let id_retention = id_retention(&settings.classes);
+        let is_retryable = |class: &Class| class.idempotency != Idempotency::NotIdempotent;
+        let retryable_classes = settings.classes.iter().map(is_retryable).collect();
+        let max_attempts = settings.max_attempts;
         let scheduler = Scheduler::new(settings, seed, clock.now())?;
         Ok(Rc::new(Dispatcher {
             queue: RefCell::new(SchedulerQueue::new(scheduler, tick)),
@@ -86,6 +94,8 @@
             counters,
             observer: RefCell::new(None),
             shutdown_deadline: Rc::default(),
+            retryable_classes,
+            max_attempts,
             retry_windows,
             clock,
             requests: RefCell::default(),
@@ -104,6 +114,12 @@
         self.observer.replace(Some(observer));
     }
 
+    /// Whether another attempt of a request may follow the attempt with this index, whatever that one has done.
+    pub(super) fn may_retry(&self, class: ClassId, attempt: usize) -> bool {
+        let is_retryable = self.retryable_classes.get(class.0).copied().unwrap_or(false);
+        is_retryable && attempt + 1 < self.max_attempts
+    }
+
     /// Claims an id for one request. Returns false if another request, in flight or recent, has claimed the same id.
     ///
     /// Clients must use a new id for each request, including their own retries: a node would treat a second request
--- a/src/core/send_permit.rs
+++ b/src/core/send_permit.rs
@@ -1,7 +1,7 @@
 //! The permission to send an attempt, checked immediately before its first byte is written.
 
 use crate::core::upload::UploadStream;
-use crate::core::{Client, ShutdownDeadline, WriteProgress};
+use crate::core::{Client, ResponseWait, ShutdownDeadline, WriteProgress};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,8 +38,12 @@
     pub client: Option<Rc<dyn Client>>,
     /// The upload, if the body is streamed.
     pub upload: Option<Rc<UploadStream>>,
+    /// How long the attempt waits for the rest of a response that has begun.
+    pub response_wait: ResponseWait,
     /// How much of the request has been written; the dispatcher reads it after the attempt has ended.
     pub written: Cell<WriteProgress>,
+    /// Whether the head of the node's final response has been received: the node works on the request.
+    pub response_begun: Cell<bool>,
 }
 
 impl SendPermit {
@@ -51,7 +55,9 @@
             shutdown_deadline: Rc::default(),
             client: None,
             upload: None,
+            response_wait: ResponseWait::new(Instant::now(), expires_at, false),
             written: Cell::default(),
+            response_begun: Cell::default(),
         }
     }
 
--- a/src/core/serve.rs
+++ b/src/core/serve.rs
@@ -15,7 +15,7 @@
 use crate::core::dispatcher::OVERDUE_AFTER;
 use crate::core::request_guard::RequestGuard;
 use crate::core::upload::UploadStream;
-use crate::core::{Answer, AttemptResult, Call, Dispatcher, SendPermit, Transport};
+use crate::core::{Answer, AttemptResult, Call, Dispatcher, ResponseWait, SendPermit, Transport};
 use crate::metrics::counters::{FinalOutcome, InFlightRequest};
 use crate::scheduler::{AttemptOutcome, Event};
 use std::cell::Cell;
@@ -199,7 +199,11 @@
             tokio::select! {
                 // Decisions are polled first, so that an attempt cancelled before its first byte is never written.
                 biased;
-                decision = self.guard.decisions.recv() => break AttemptCompletion::Cancelled(decision),
+                decision = self.guard.decisions.recv() => match decision {
+                    // The scheduler takes the attempt for lost, but its node has begun to respond.
+                    Decision::Cancel if permit.response_begun.get() => {}
+                    decision => break AttemptCompletion::Cancelled(decision),
+                },
                 result = sending.as_mut() => break AttemptCompletion::Completed(result),
                 () = shutdown.as_mut(), if !self.is_forwarding_body() => {
                     break AttemptCompletion::AbortedByShutdown;
@@ -220,14 +224,17 @@
     }
 
     fn send_permit(&self, send: &SendDecision) -> SendPermit {
-        let expires_at = self.dispatcher.clock().instant(send.expires_at);
+        let expires_at = self.dispatcher.clock().instant(send.expires_at).min(self.overdue_at);
+        let may_retry = self.upload().is_none() && self.dispatcher.may_retry(self.call.class, send.attempt);
         SendPermit {
-            expires_at: expires_at.min(self.overdue_at),
+            expires_at,
+            response_wait: ResponseWait::new(send.decided_at, expires_at, may_retry),
             retry_window_ends_at: self.retry_window_ends_at,
             shutdown_deadline: self.dispatcher.shutdown_deadline.clone(),
             client: self.call.client.clone(),
             upload: self.upload().cloned(),
             written: Cell::default(),
+            response_begun: Cell::default(),
         }
     }
 
--- a/src/core/upload.rs
+++ b/src/core/upload.rs
@@ -6,6 +6,7 @@
 //! immediately before the attempt until it is certain that the client was connected a moment ago
 //! (`node::client_check`).
 
+use crate::core::Client;
 use crate::core::content::IncompleteBody;
 use crate::resources::memory::{MemoryBudget, MemoryReservation};
 use bytes::{Bytes, BytesMut};
@@ -85,6 +86,9 @@
     }
 }
 
+/// Maximum capacity of both hosts' socket buffers for a client's connection: 4 MiB at the client, Linux's default maximum
+/// of `tcp_wmem`, and 2 MiB at the head, whose receive buffer grows only as it is read.
+pub const SOCKET_BUFFERS_BYTES: usize = 6 << 20;
 /// Step in which memory is reserved to read ahead while the request waits, in bytes.
 const READ_AHEAD_STEP_BYTES: usize = 256 * 1024;
 
@@ -109,8 +113,12 @@
     last_received: Cell<Instant>,
     /// When the last byte was received.
     ended_at: Cell<Option<Instant>>,
+    /// Until when the client is known not to have sent the last byte.
+    incomplete_until: Cell<Instant>,
     /// Whether the source has failed before the body's last byte.
     failed: Cell<bool>,
+    /// The failure, if it was found while reading ahead and is still to be passed on.
+    failure: Cell<Option<IncompleteBody>>,
     /// Latest time at which the client is known to have been connected, if any.
     client_confirmed_at: Cell<Option<Instant>>,
 }
@@ -153,7 +161,9 @@
             last_progress: Cell::new(now),
             last_received: Cell::new(now),
             ended_at: Cell::new(None),
+            incomplete_until: Cell::new(now),
             failed: Cell::new(false),
+            failure: Cell::new(None),
             client_confirmed_at: Cell::new(None),
         })
     }
@@ -187,6 +197,9 @@
             self.last_progress.set(Instant::now());
             return Poll::Ready(Some(Ok(chunk)));
         }
+        if let Some(error) = self.failure.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
         self.poll_source(cx)
     }
 
@@ -194,13 +207,21 @@
         if self.ended_at.get().is_some() {
             return Poll::Ready(None);
         }
-        let chunk = ready!(self.source.borrow_mut().as_mut().poll_next(cx));
+        let polled = self.source.borrow_mut().as_mut().poll_next(cx);
         let now = Instant::now();
+        if polled.is_pending() {
+            // All that the client has sent is received.
+            self.incomplete_until.set(now);
+        }
+        let chunk = ready!(polled);
         self.last_progress.set(now);
         match &chunk {
             Some(Ok(bytes)) => {
                 self.received.set(self.received.get() + bytes.len() as u64);
                 self.last_received.set(now);
+                if self.remaining().is_some_and(|remaining| remaining > SOCKET_BUFFERS_BYTES as u64) {
+                    self.incomplete_until.set(now);
+                }
             }
             Some(Err(_)) => self.failed.set(true),
             None => self.ended_at.set(Some(now)),
@@ -213,12 +234,41 @@
         self.ended_at.get()
     }
 
-    /// Deadline of the attempt that sends the body: until the last byte is received, the stall timeout after the last
-    /// progress; then, the response timeout after the last byte.
-    pub fn attempt_deadline(&self) -> Instant {
-        match self.ended_at.get() {
-            Some(ended_at) => ended_at + self.response_timeout,
-            None => self.last_progress.get() + UploadStream::STALL_TIMEOUT,
+    /// Deadline of the attempt that sends the body: the response timeout after the client may have sent the last byte
+    /// and, until that is received, the stall timeout after the last progress.
+    ///
+    /// The client's time runs from its last byte, which may lie unread in the buffers of both systems while the node
+    /// reads slowly. `client` tells whether bytes of it are unread.
+    pub fn attempt_deadline(&self, client: Option<&dyn Client>) -> Instant {
+        let now = Instant::now();
+        let is_ended = self.ended_at.get().is_some();
+        let is_due = now >= self.incomplete_until.get() + self.response_timeout;
+        if is_due && !is_ended && client.is_some_and(|client| client.has_nothing_unread()) {
+            self.incomplete_until.set(now);
+        }
+        let client_deadline = self.incomplete_until.get() + self.response_timeout;
+        match is_ended {
+            true => client_deadline,
+            false => client_deadline.min(self.last_progress.get() + UploadStream::STALL_TIMEOUT),
+        }
+    }
+
+    /// Whether an attempt has taken the body and more of it is expected.
+    fn is_receiving(&self) -> bool {
+        self.is_taken() && !self.failed.get() && self.ended_at.get().is_none()
+    }
+
+    /// Reads further ahead while the node reads slowly, as far as spare memory permits, so that the end of the body is
+    /// noticed when it arrives.
+    pub fn poll_read_ahead(&self, cx: &mut Context<'_>) {
+        while self.is_receiving() && (self.may_read_ahead() || self.reserve_spare_memory()) {
+            match self.poll_source(cx) {
+                Poll::Ready(Some(Ok(frame))) => self.read_ahead.borrow_mut().push(&frame),
+                Poll::Ready(Some(Err(error))) => {
+                    self.failure.replace(Some(error));
+                }
+                Poll::Ready(None) | Poll::Pending => break,
+            }
         }
     }
 }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -14,6 +14,7 @@
 use crate::scheduler::{AttemptOutcome, NodeId};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Context;
 use tokio::time::Instant;
 
 /// Whether an attempt's connection was taken from the pool or opened for it.
@@ -151,8 +152,8 @@
             request::build(self.request, self.address, time_left.as_secs_f64(), &connection.progress);
         let Some(request) = request else { return Ok(AttemptResult::empty(AttemptOutcome::NotSent)) };
         let response = connection.sender.send_request(request);
-        let receiving = NodeResponse::receive(response, &self.transport.memory);
-        let received = connection.drive(receiving, || self.deadline()).await;
+        let receiving = NodeResponse::receive(response, &self.transport.memory, &self.guard.permit);
+        let received = connection.drive(receiving, || self.deadline(), |cx| self.read_ahead(cx)).await;
         if let Some(reason) = connection.progress.refused() {
             return Err(reason);
         }
@@ -174,11 +175,18 @@
     /// The attempt's current deadline, which moves while a streamed body is forwarded.
     fn deadline(&self) -> Instant {
         match self.request.payload.upload() {
-            Some(upload) => upload.attempt_deadline(),
+            Some(upload) => upload.attempt_deadline(self.guard.permit.client.as_deref()),
             None => self.guard.permit.expires_at,
         }
     }
 
+    /// Reads a streamed body further than the node takes it.
+    fn read_ahead(&self, cx: &mut Context<'_>) {
+        if let Some(upload) = self.request.payload.upload() {
+            upload.poll_read_ahead(cx);
+        }
+    }
+
     /// The outcome of an exchange that failed with an error, or that timed out (`None`).
     fn classify_failure(&self, error: Option<&ResponseError>, progress: &ExchangeProgress) -> AttemptOutcome {
         // The node did not receive the complete request, so it can't have started to execute it.
--- a/src/node/client_check.rs
+++ b/src/node/client_check.rs
@@ -13,7 +13,7 @@
 //! Bytes that spend longer than [`OPEN_TIME`] in the network can't be distinguished from bytes that a client still
 //! sends.
 
-use crate::core::upload::UploadStream;
+use crate::core::upload::{SOCKET_BUFFERS_BYTES, UploadStream};
 use crate::core::{Client, PermitExpired, SendPermit};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -23,10 +23,6 @@
 /// How long the receive buffer must have room if a client sends without a pause of [`QUIET_TIME`]. At 1 Gbit/s, a
 /// client's kernel sends its whole send buffer in this time.
 const OPEN_TIME: Duration = Duration::from_millis(50);
-/// Maximum capacity of both hosts' socket buffers for a connection: 4 MiB at the client, Linux's default maximum of
-/// `tcp_wmem`, and 2 MiB at the head, whose receive buffer grows only as it is read, and little of the upload has been
-/// read.
-const SOCKET_BUFFERS_BYTES: usize = 6 << 20;
 /// Largest amount of an upload that may just have been read without making room in a full receive buffer.
 const MAX_INITIAL_READ_BYTES: u64 = 16 << 10;
 /// How much of the confirmation's validity must be left for the attempt to begin without another check.
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -84,11 +84,13 @@
     }
 
     /// Polls the connection while `work` uses it, and returns the output of `work`; `None` on a timeout. The time limit
-    /// is the earlier of `deadline`, which is evaluated at each poll, and the deadline for the response's next bytes.
+    /// is the earlier of `deadline`, which is evaluated at each poll, and the end of the wait for the rest of a response.
+    /// `background` is called at each poll.
     pub(super) async fn drive<O>(
         &mut self,
         work: impl Future<Output = O>,
         deadline: impl Fn() -> Instant,
+        background: impl Fn(&mut Context<'_>),
     ) -> Option<O> {
         let mut due = deadline();
         let mut work = pin!(work);
@@ -101,6 +103,7 @@
                     return Poll::Ready(Some(output));
                 }
             }
+            background(cx);
             let due_now = self.progress.due(deadline());
             if due_now != due {
                 due = due_now;
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -28,11 +28,8 @@
 /// Minimum time for which a response of unknown length is buffered, unless it fills the buffer earlier.
 pub(super) const UNKNOWN_LENGTH_BUFFER_TIME: Duration = Duration::from_millis(30);
 
-/// Maximum pause in a response that is being buffered, in addition to the time that the last bytes received take at
-/// [`MIN_RESPONSE_RATE`]. After it, another node can still serve the request.
-pub(super) const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Minimum rate at which a node is expected to send a response, in bytes per second.
-pub(super) const MIN_RESPONSE_RATE: f64 = 64e3;
-/// Maximum pause in a response that is being forwarded; longer than [`RESPONSE_STALL_TIMEOUT`], since the request can
-/// no longer be retried.
+/// How long the body of an error response is read before the connection is closed instead.
+pub(super) const ERROR_BODY_TIME: Duration = Duration::from_millis(30);
+/// Maximum pause in a response that is being forwarded, whose request can no longer be retried: longer than any client
+/// waits for an answer, so that only a node that has stopped is given up.
 pub(super) const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(5);
--- a/src/node/progress.rs
+++ b/src/node/progress.rs
@@ -1,7 +1,7 @@
 //! Progress of the exchange on a connection: how much of the request was written and of the response received.
 
 use super::guard::{NotSentReason, SendGuard, Stage};
-use super::limits::{MAX_RESPONSE_BYTES, MIN_RESPONSE_RATE, RESPONSE_STALL_TIMEOUT};
+use super::limits::MAX_RESPONSE_BYTES;
 use crate::core::WriteProgress;
 use crate::metrics::counters::Counters;
 use std::cell::{Cell, RefCell};
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -33,8 +32,8 @@
     /// Send guard of the request, checked immediately before its first byte.
     guard: RefCell<Option<SendGuard>>,
     request: Cell<WriteState>,
-    /// Deadline for the next bytes of the response; `None` until its first bytes, and again after an interim response.
-    next_bytes_due: Cell<Option<Instant>>,
+    /// When bytes of the response last arrived; `None` until its first bytes, and again after an interim response.
+    last_bytes_at: Cell<Option<Instant>>,
     /// Number of bytes read since the request was started.
     bytes_read: Cell<usize>,
     /// Whether an interim (1xx) response was received since the last call of [`ExchangeProgress::due`].
@@ -50,7 +49,7 @@
             counters,
             guard: RefCell::default(),
             request: Cell::new(WriteState::NotStarted { body_taken: false }),
-            next_bytes_due: Cell::default(),
+            last_bytes_at: Cell::default(),
             bytes_read: Cell::default(),
             interim_received: Arc::default(),
             closed_by_node: Cell::default(),
@@ -62,7 +61,7 @@
         guard.permit.written.set(WriteProgress::Nothing);
         self.guard.replace(Some(guard));
         self.request.set(WriteState::NotStarted { body_taken: body_is_empty });
-        self.next_bytes_due.set(None);
+        self.last_bytes_at.set(None);
         self.bytes_read.set(0);
         self.interim_received.store(false, Ordering::Relaxed);
     }
@@ -148,8 +147,7 @@
     /// Returns an error if the response exceeds [`MAX_RESPONSE_BYTES`].
     pub(super) fn bytes_received(&self, count: usize) -> io::Result<()> {
         self.bytes_read.set(self.bytes_read.get() + count);
-        let time_at_min_rate = Duration::from_secs_f64(count as f64 / MIN_RESPONSE_RATE);
-        self.next_bytes_due.set(Some(Instant::now() + RESPONSE_STALL_TIMEOUT + time_at_min_rate));
+        self.last_bytes_at.set(Some(Instant::now()));
         if self.bytes_read.get() > MAX_RESPONSE_BYTES {
             return Err(io::Error::other(format!("response exceeds {MAX_RESPONSE_BYTES} bytes")));
         }
@@ -163,21 +161,27 @@
 
     /// Whether part of the final response has been received.
     pub(super) fn has_response_begun(&self) -> bool {
-        self.next_bytes_due.get().is_some()
+        self.last_bytes_at.get().is_some()
     }
 
-    /// The time by which the exchange must make progress or end: the attempt's deadline or, if earlier, that of the
-    /// response's next bytes.
+    /// The time by which the exchange must make progress or end: the attempt's deadline or, if earlier, the end of the
+    /// wait for the rest of a response that has stalled.
     pub(super) fn due(&self, attempt_deadline: Instant) -> Instant {
         if self.interim_received.swap(false, Ordering::Relaxed) {
-            self.next_bytes_due.set(None);
+            self.last_bytes_at.set(None);
         }
-        match self.next_bytes_due.get() {
-            Some(due) => due.min(attempt_deadline),
+        match self.stalled_at() {
+            Some(stalled_at) => stalled_at.min(attempt_deadline),
             None => attempt_deadline,
         }
     }
 
+    fn stalled_at(&self) -> Option<Instant> {
+        let last_bytes_at = self.last_bytes_at.get()?;
+        let guard = self.guard.borrow();
+        guard.as_ref()?.permit.response_wait.stalled_at(last_bytes_at)
+    }
+
     /// Records that the node has closed or reset the connection.
     pub(super) fn closed_by_node(&self) {
         self.closed_by_node.set(true);
--- a/src/node/response.rs
+++ b/src/node/response.rs
@@ -2,12 +2,13 @@
 
 use super::connection::NodeConnection;
 use super::limits::{
-    MAX_BUFFERED_BYTES, STREAM_STALL_TIMEOUT, STREAM_START_BYTES, UNKNOWN_LENGTH_BUFFER_TIME,
+    ERROR_BODY_TIME, MAX_BUFFERED_BYTES, STREAM_STALL_TIMEOUT, STREAM_START_BYTES, UNKNOWN_LENGTH_BUFFER_TIME,
 };
 use super::pool::ConnectionPool;
 use crate::core::AttemptResult;
+use crate::core::SendPermit;
 use crate::core::content::{IncompleteBody, StreamedBody};
-use crate::resources::memory::{BodyError, GatheredBody, MemoryBudget, PartialBody};
+use crate::resources::memory::{BodyError, EarlyReturn, GatheredBody, MemoryBudget, PartialBody};
 use crate::scheduler::{AttemptOutcome, LoadReport, NodeId};
 use bytes::Bytes;
 use futures_core::Stream;
@@ -45,25 +46,33 @@
 }
 
 impl NodeResponse {
-    /// Waits for the response and buffers its body: completely if it is short, otherwise its beginning.
+    /// Waits for the response and buffers its body: completely if it is short and comes in time, otherwise its beginning.
     pub(super) async fn receive(
         response: impl Future<Output = hyper::Result<Response<Incoming>>>,
         memory: &MemoryBudget,
+        permit: &SendPermit,
     ) -> Result<NodeResponse, ResponseError> {
         let (head, mut body) = response.await?.into_parts();
+        permit.response_begun.set(true);
         if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
             return Err(ResponseError::AmbiguousLength);
         }
         // A body of unknown length ends when the node closes the connection; a reset is an error.
-        let (max_bytes, partial) = match body.size_hint().exact() {
+        let (max_bytes, early) = match body.size_hint().exact() {
             Some(length) if length > MAX_BUFFERED_BYTES as u64 => (STREAM_START_BYTES, None),
             Some(_) => (MAX_BUFFERED_BYTES, None),
             None => {
-                let deadline = Instant::now() + UNKNOWN_LENGTH_BUFFER_TIME;
-                (MAX_BUFFERED_BYTES, Some(PartialBody { deadline, min_bytes: STREAM_START_BYTES }))
+                let at = Instant::now() + UNKNOWN_LENGTH_BUFFER_TIME;
+                (MAX_BUFFERED_BYTES, Some(EarlyReturn { at, min_bytes: STREAM_START_BYTES }))
             }
         };
-        let buffered = memory.gather(&mut body, max_bytes, partial).await?;
+        // The body of an error is not forwarded: it is read only so that the connection can be used again.
+        let latest = match classify(&head) {
+            AttemptOutcome::Ok => permit.response_wait.forward_at,
+            _ => Instant::now() + ERROR_BODY_TIME,
+        };
+        let partial = PartialBody { early, latest };
+        let buffered = memory.gather(&mut body, max_bytes, Some(partial)).await?;
         Ok(NodeResponse { head, rest: body, buffered })
     }
 
--- a/src/node/tests/send_guard.rs
+++ b/src/node/tests/send_guard.rs
@@ -135,7 +135,7 @@
                 shutdown_deadline: shutdown_deadline.clone(),
                 client: Some(Rc::new(ScriptedClient::new(move || client_state.get()))),
                 upload: None,
-                written: Cell::default(),
+                ..SendPermit::expiring_at(far_future())
             });
             let apply_change = || match change {
                 Change::ShutdownDeadlinePasses => shutdown_deadline.set(now),
--- a/src/resources/memory.rs
+++ b/src/resources/memory.rs
@@ -9,7 +9,7 @@
 mod body_buffer;
 mod plan;
 
-pub use body_buffer::{BodyError, GatheredBody, MAX_BODY_BYTES, PartialBody};
+pub use body_buffer::{BodyError, EarlyReturn, GatheredBody, MAX_BODY_BYTES, PartialBody};
 pub use plan::MemoryPlan;
 
 use std::cell::Cell;
--- a/src/resources/memory/body_buffer.rs
+++ b/src/resources/memory/body_buffer.rs
@@ -36,12 +36,31 @@
 /// Permits [`MemoryBudget::gather`] to return before the body has ended.
 #[derive(Clone, Copy, Debug)]
 pub struct PartialBody {
-    /// When [`MemoryBudget::gather`] returns what it has received, provided that it has received `min_bytes`.
-    pub deadline: Instant,
-    /// Number of bytes that [`MemoryBudget::gather`] waits for even after `deadline`.
+    /// When to return if enough has been received; `None` to wait until `latest`.
+    pub early: Option<EarlyReturn>,
+    /// When to return whatever has been received.
+    pub latest: Instant,
+}
+
+/// When [`MemoryBudget::gather`] may return with so many bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct EarlyReturn {
+    /// The time from which on it returns.
+    pub at: Instant,
+    /// Number of bytes that it waits for even after that time.
     pub min_bytes: usize,
 }
 
+impl PartialBody {
+    /// When to return with `received` bytes.
+    fn return_at(&self, received: usize) -> Instant {
+        match self.early {
+            Some(early) if received >= early.min_bytes => early.at.min(self.latest),
+            _ => self.latest,
+        }
+    }
+}
+
 /// A buffer of received bytes and the reservation of its capacity.
 struct BodyBuffer {
     bytes: BytesMut,
@@ -112,9 +131,9 @@
             if !buffer.make_room(self, still_to_come.min(FRAME_BYTES), expected) {
                 break false;
             }
-            let may_return_at = partial.filter(|partial| received >= partial.min_bytes);
-            let frame = match may_return_at {
-                Some(partial) => match timeout_at(partial.deadline, body.frame()).await {
+            let return_at = partial.map(|partial| partial.return_at(received));
+            let frame = match return_at {
+                Some(return_at) => match timeout_at(return_at, body.frame()).await {
                     Ok(frame) => frame,
                     Err(_) => break false,
                 },
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -58,7 +58,12 @@
             message.body = chunks(from)?;
             return Some(message);
         }
-        let length = message.headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let Some(length) = message.headers.get("content-length").and_then(|l| l.parse().ok()) else {
+            if message.line.starts_with("HTTP/") && message.header("connection") == "close" {
+                from.read_to_end(&mut message.body).ok()?;
+            }
+            return Some(message);
+        };
         message.body = vec![0; length];
         from.read_exact(&mut message.body).ok()?;
         Some(message)
@@ -98,6 +103,12 @@
     Raw(Vec<u8>),
     /// Writes the first bytes, waits at the barrier, writes the other bytes and closes the connection.
     Held(Vec<u8>, Arc<std::sync::Barrier>, Vec<u8>),
+    /// Writes pieces verbatim with a pause between them, then closes the connection or keeps it open.
+    InPieces {
+        pieces: Vec<Vec<u8>>,
+        pause: Duration,
+        closes: bool,
+    },
     /// Writes these bytes verbatim, then resets the connection.
     Reset(Vec<u8>),
     /// Never responds; counts the connection as closed once the peer closes it.
@@ -163,6 +174,16 @@
                     let _ = out.write_all(&rest);
                     break;
                 }
+                Step::InPieces { pieces, pause, closes } => {
+                    for (number, piece) in pieces.iter().enumerate() {
+                        thread::sleep(if number == 0 { Duration::ZERO } else { pause });
+                        let _ = out.write_all(piece);
+                    }
+                    if closes {
+                        break;
+                    }
+                    continue;
+                }
                 Step::Reset(bytes) => {
                     let _ = out.write_all(&bytes);
                     // Gives the peer time to read the bytes before the reset discards them.
