A request id in flight can't be claimed again, by any process of an upgrade

What callers saw: the same id ran twice when it was sent to the older process of an upgrade and then to the newer one, both answered 200. Cause: RecentRequestIds was one process's own; and it forgot the oldest of 8,192 ids also while its request was open. Change: RequestIds keeps ids in flight until their requests end, at any number of others, and then for 10 s if an attempt had begun, since that one may still run. Processes of a head announce claims over the handover's socket as messages that earlier versions ignore; a newer process is sent the ids in flight and the latest ones with the listening sockets. A claim is announced before it is decided and announcements that have arrived are read before and after, so that of two claims at the same time at least one sees the other. Messages that do not fit in the socket's buffer are kept and sent later. An id again after its client left was rejected before, too.

--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -1,6 +1,6 @@
 //! A request as a frontend passes it to the dispatcher, and the client that waits for its answer.
 
-use crate::core::NodeRequest;
+use crate::core::{IdClaim, NodeRequest};
 use crate::scheduler::{ClassId, ExtentId, PlanId, ShardId, VolumeId};
 use std::fmt;
 use std::rc::Rc;
@@ -42,4 +42,6 @@
     pub client: Option<Rc<dyn Client>>,
     /// Request that each attempt sends to its node.
     pub node_request: Rc<NodeRequest>,
+    /// The claim of the request's id; `None` if the frontend has made up an id that no other request can have.
+    pub id_claim: Option<Rc<IdClaim>>,
 }
--- a/src/core/dispatcher.rs
+++ b/src/core/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use crate::Scheduler;
 use crate::core::decision::{Decision, PendingDecisions};
-use crate::core::request_ids::RecentRequestIds;
+use crate::core::request_ids::RequestIds;
 use crate::core::request_table::{RequestTable, UnreportedAttempt};
 use crate::core::shedding::SheddingState;
 use crate::core::timers::Timers;
@@ -13,7 +13,6 @@
     Action, AttemptOutcome, Class, ClassId, Event, Idempotency, RequestId, SchedulerSettings,
     SchedulerSettingsError,
 };
-use bytes::Bytes;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,7 +64,7 @@
     pub(super) retry_windows: Vec<Option<Duration>>,
     clock: Clock,
     requests: RefCell<RequestTable>,
-    request_ids: RefCell<RecentRequestIds>,
+    request_ids: Rc<RequestIds>,
     timers: Timers,
 }
 
@@ -99,7 +98,7 @@
             retry_windows,
             clock,
             requests: RefCell::default(),
-            request_ids: RefCell::new(RecentRequestIds::new(id_retention)),
+            request_ids: RequestIds::new(id_retention),
             timers: Timers::default(),
         }))
     }
@@ -120,12 +119,12 @@
         is_retryable && attempt + 1 < self.max_attempts
     }
 
-    /// Claims an id for one request. Returns false if another request, in flight or recent, has claimed the same id.
+    /// The request ids that can't be claimed.
     ///
     /// Clients must use a new id for each request, including their own retries: a node would treat a second request
     /// with the same id as a further attempt of the first.
-    pub fn claim_request_id(&self, id: &Bytes) -> bool {
-        self.request_ids.borrow_mut().claim(id)
+    pub fn request_ids(&self) -> &Rc<RequestIds> {
+        &self.request_ids
     }
 
     /// Sets the shutdown deadline, by which all requests, in flight or still to arrive, must be answered because the
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub use dispatcher::Dispatcher;
 pub use node_request::{NodeRequest, Operation};
 pub use observer::Observer;
+pub use request_ids::{ClaimPeers, IdClaim, RequestIds, RequestKey};
 pub use response_wait::ResponseWait;
 pub use send_permit::{PermitExpired, SendPermit};
 pub use shutdown_deadline::ShutdownDeadline;
--- a/src/core/serve.rs
+++ b/src/core/serve.rs
@@ -192,6 +192,9 @@
         send: &SendDecision,
         mut shutdown: Pin<&mut impl Future<Output = ()>>,
     ) -> EndedAttempt {
+        if let Some(claim) = &self.call.id_claim {
+            claim.attempt_begins();
+        }
         let permit = Rc::new(self.send_permit(send));
         // Boxed, so that a request that is only waiting does not allocate the size of the attempt's future.
         let mut sending = Box::pin(transport.send(send.node, &self.call.node_request, &permit));
--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -161,6 +161,7 @@
             shedding: shedding.clone(),
         };
         let handover = Handover::new(state_folder, &config.name, shared);
+        dispatcher.request_ids().set_peers(handover.clone());
         Ok(Parts {
             dispatcher,
             descriptors,
--- a/src/frontend/block/session/command.rs
+++ b/src/frontend/block/session/command.rs
@@ -146,6 +146,7 @@
             deadline,
             client: None,
             node_request: Rc::new(node_request),
+            id_claim: None,
         })
     }
 }
--- a/src/frontend/request.rs
+++ b/src/frontend/request.rs
@@ -131,12 +131,10 @@
     }
 
     /// Claims the request id of a call. A node would take a second request with the same id for a copy of the first.
-    fn claim_id(&self, call: Call) -> Result<Call, CallError> {
-        if self.dispatcher.claim_request_id(&call.node_request.id) {
-            Ok(call)
-        } else {
-            Err(BadRequest::Duplicate.into())
-        }
+    fn claim_id(&self, mut call: Call) -> Result<Call, CallError> {
+        let claim = self.dispatcher.request_ids().claim(&call.node_request.id);
+        call.id_claim = Some(Rc::new(claim.ok_or(BadRequest::Duplicate)?));
+        Ok(call)
     }
 
     async fn serve(&self, call: Call, in_flight: InFlightRequest) -> Response<ResponseBody> {
@@ -188,6 +186,7 @@
                 idempotency_key,
                 payload,
             }),
+            id_claim: None,
         })
     }
 
--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -3,9 +3,11 @@
 //!
 //! The texts must not change: upgrades and rollbacks hand over between processes of different versions.
 
+use crate::core::RequestKey;
+use std::borrow::Cow;
 use thiserror::Error;
 
-/// Maximum length of a message, in bytes; the longest one defined has 6. A peer that sends this many bytes without a
+/// Maximum length of a message, in bytes; the longest one defined has 20. A peer that sends this many bytes without a
 /// line feed does not use this protocol.
 pub(super) const MAX_MESSAGE_BYTES: usize = 64;
 
@@ -20,6 +22,8 @@
     ExclusionsChanged,
     /// An operator changed the overrides of shedding levels; the receiver reads them again.
     OverridesChanged,
+    /// The sender has claimed the id of a request. Unknown to earlier versions, which ignore it.
+    IdClaimed(RequestKey),
 }
 
 /// A received line that is not a message known to this version.
@@ -28,21 +32,39 @@
 pub(super) struct UnknownMessage;
 
 impl Message {
-    const ALL: [Message; 4] =
-        [Message::Sockets, Message::Ready, Message::ExclusionsChanged, Message::OverridesChanged];
+    /// Text of [`Message::Sockets`].
+    pub(super) const SOCKETS_TEXT: &'static [u8] = b"here\n";
+    /// Beginning of the text of [`Message::IdClaimed`], before the key in hexadecimal digits.
+    const ID_CLAIMED_PREFIX: &'static str = "id ";
 
     /// Encodes the message, including the terminating line feed.
-    pub(super) const fn encode(self) -> &'static [u8] {
+    pub(super) fn encode(self) -> Cow<'static, [u8]> {
         match self {
-            Message::Sockets => b"here\n",
-            Message::Ready => b"ready\n",
-            Message::ExclusionsChanged => b"bans\n",
-            Message::OverridesChanged => b"pins\n",
+            Message::Sockets => Message::SOCKETS_TEXT.into(),
+            Message::Ready => b"ready\n".into(),
+            Message::ExclusionsChanged => b"bans\n".into(),
+            Message::OverridesChanged => b"pins\n".into(),
+            Message::IdClaimed(RequestKey(key)) => {
+                format!("{}{key:016x}\n", Message::ID_CLAIMED_PREFIX).into_bytes().into()
+            }
         }
     }
 
     fn decode(line: &[u8]) -> Result<Message, UnknownMessage> {
-        Message::ALL.into_iter().find(|message| message.encode() == line).ok_or(UnknownMessage)
+        match line {
+            Message::SOCKETS_TEXT => Ok(Message::Sockets),
+            b"ready\n" => Ok(Message::Ready),
+            b"bans\n" => Ok(Message::ExclusionsChanged),
+            b"pins\n" => Ok(Message::OverridesChanged),
+            line => Message::decode_id_claimed(line).ok_or(UnknownMessage),
+        }
+    }
+
+    fn decode_id_claimed(line: &[u8]) -> Option<Message> {
+        let line = std::str::from_utf8(line).ok()?;
+        let digits = line.strip_prefix(Message::ID_CLAIMED_PREFIX)?.strip_suffix('\n')?;
+        let key = u64::from_str_radix(digits, 16).ok()?;
+        Some(Message::IdClaimed(RequestKey(key)))
     }
 }
 
--- a/src/handover/message/tests.rs
+++ b/src/handover/message/tests.rs
@@ -1,12 +1,24 @@
 //! Encoding and decoding of handover messages.
 
 use super::{MAX_MESSAGE_BYTES, Message, MessageDecoder};
+use crate::core::RequestKey;
 
 /// Guards against a change to the encoding, which would break handovers to and from processes of earlier versions.
 #[test]
 fn encoding_matches_earlier_versions() {
-    let texts = Message::ALL.map(Message::encode);
-    assert_eq!(texts, [&b"here\n"[..], b"ready\n", b"bans\n", b"pins\n"]);
+    let messages = [
+        (Message::Sockets, &b"here\n"[..]),
+        (Message::Ready, b"ready\n"),
+        (Message::ExclusionsChanged, b"bans\n"),
+        (Message::OverridesChanged, b"pins\n"),
+        (Message::IdClaimed(RequestKey(0x9b1f_03aa_5c7e_2d41)), b"id 9b1f03aa5c7e2d41\n"),
+    ];
+    for (message, text) in messages {
+        assert_eq!(&message.encode()[..], text);
+        let mut decoder = MessageDecoder::default();
+        decoder.push(text);
+        assert_eq!(decoder.next().and_then(Result::ok), Some(message));
+    }
 }
 
 /// Guards against messages lost when a read returns part of a line or several lines, and against an unknown message
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -4,7 +4,8 @@
 //! to it and receives the listening sockets. Both then share the kernel's accept queues, so closing the sockets in one
 //! process does not reset queued connections. The older process accepts connections until the newer one reports that
 //! it is ready; from then on the newer one accepts them, and the older one completes the requests that it has accepted.
-//! While both run, each uses half of the head's rate limits, slow-start capacity of nodes, file descriptors and memory.
+//! While both run, each uses half of the head's rate limits, slow-start capacity of nodes, file descriptors and memory, and
+//! a request id that one has claimed can't be claimed in the other (`core::RequestIds`).
 //! When the Unix connection closes, the other process counts as ended.
 
 mod message;
@@ -13,7 +14,7 @@
 mod socket_path;
 mod state;
 
-use crate::core::Dispatcher;
+use crate::core::{ClaimPeers, Dispatcher, RequestKey};
 use crate::discovery::EndpointDirectory;
 use crate::exclusions::Exclusions;
 use crate::lifecycle::Lifecycle;
@@ -21,8 +22,8 @@
 use crate::resources::memory::MemoryBudget;
 use crate::scheduler::Event;
 use crate::shedding::controller::SheddingController;
-use message::{Message, MessageDecoder};
-use peer::PeerConnection;
+use message::{Message, UnknownMessage};
+use peer::{PeerConnection, Received};
 use socket_passing::{receive_sockets, send_sockets};
 use socket_path::BoundListener;
 use state::{NewerProcess, OtherProcesses};
@@ -37,6 +38,8 @@
 
 /// Timeout for passing the listening sockets. A peer that takes longer counts as hung.
 const PASSING_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of ids that a newer process is sent, of requests in flight first and then of the latest ones.
+const MAX_IDS_SENT: usize = 16_384;
 /// Pause after `accept` failed on the Unix socket.
 const ACCEPT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -98,7 +101,7 @@
                 return Vec::new();
             }
         };
-        let older = Rc::new(PeerConnection { stream });
+        let older = Rc::new(PeerConnection::new(stream));
         self.update(|others| others.older = true);
         let sockets = match timeout(PASSING_TIMEOUT, receive_sockets(&older.stream)).await {
             Ok(Ok(sockets)) => sockets,
@@ -241,11 +244,14 @@
 
     /// Passes the listening sockets to a newer process, then handles its messages until it ends.
     async fn serve_newer_process(&self, stream: UnixStream) {
-        let newer = Rc::new(PeerConnection { stream });
+        let newer = Rc::new(PeerConnection::new(stream));
         self.update(|others| others.newer = NewerProcess::Starting);
         let sockets = self.sockets.borrow().clone();
         match timeout(PASSING_TIMEOUT, send_sockets(&newer.stream, &sockets)).await {
-            Ok(Ok(())) => self.handle_messages(newer).await,
+            Ok(Ok(())) => {
+                self.send_claimed_ids(&newer);
+                self.handle_messages(newer).await;
+            }
             Ok(Err(error)) => log::warn!("handover: passing sockets to the newer process: {error}"),
             Err(Elapsed { .. }) => log::warn!("handover: the newer process does not respond"),
         }
@@ -256,16 +262,26 @@
     /// Handles the messages of a peer until its connection closes.
     async fn handle_messages(&self, peer: Rc<PeerConnection>) {
         self.peers.borrow_mut().push(peer.clone());
-        let mut decoder = MessageDecoder::default();
-        while let Some(message) = peer.receive(&mut decoder).await {
-            match message {
-                Ok(message) => self.handle_message(message),
-                Err(error) => log::debug!("handover: {error}"),
-            }
+        while let Some(message) = peer.receive().await {
+            self.handle_received(message);
         }
         self.peers.borrow_mut().retain(|other| !Rc::ptr_eq(other, &peer));
     }
 
+    fn handle_received(&self, message: Result<Message, UnknownMessage>) {
+        match message {
+            Ok(message) => self.handle_message(message),
+            Err(error) => log::debug!("handover: {error}"),
+        }
+    }
+
+    /// Sends a newer process the ids of requests that this process has in flight or has lately served.
+    fn send_claimed_ids(&self, newer: &PeerConnection) {
+        for key in self.shared.dispatcher.request_ids().claimed().into_iter().take(MAX_IDS_SENT) {
+            newer.send(Message::IdClaimed(key));
+        }
+    }
+
     fn handle_message(&self, message: Message) {
         match message {
             Message::Sockets => log::debug!("handover: ignoring repeated sockets message"),
@@ -275,6 +291,23 @@
                 self.shared.directory.on_exclusions_changed();
             }
             Message::OverridesChanged => self.shared.shedding.reload_overrides(),
+            Message::IdClaimed(key) => self.shared.dispatcher.request_ids().note_peer_claim(key),
+        }
+    }
+}
+
+impl ClaimPeers for Handover {
+    fn receive_claims(&self) {
+        let peers = self.peers.borrow().clone();
+        for peer in peers {
+            // The end of the connection is handled where its messages are awaited.
+            while let Received::Message(message) = peer.try_receive() {
+                self.handle_received(message);
+            }
         }
     }
+
+    fn announce_claim(&self, key: RequestKey) {
+        self.send_to_peers(Message::IdClaimed(key));
+    }
 }
--- a/src/handover/socket_passing.rs
+++ b/src/handover/socket_passing.rs
@@ -25,7 +25,7 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_SOCKETS))];
     let mut ancillary = SendAncillaryBuffer::new(&mut space);
     ancillary.push(SendAncillaryMessage::ScmRights(descriptors));
-    let text = IoSlice::new(Message::Sockets.encode());
+    let text = IoSlice::new(Message::SOCKETS_TEXT);
     sendmsg(stream, &[text], &mut ancillary, SendFlags::NOSIGNAL)?;
     Ok(())
 }
@@ -47,7 +47,7 @@
 }
 
 fn receive_descriptors(stream: &UnixStream) -> io::Result<Vec<OwnedFd>> {
-    let mut text = [0; Message::Sockets.encode().len()];
+    let mut text = [0; Message::SOCKETS_TEXT.len()];
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_SOCKETS))];
     let mut ancillary = RecvAncillaryBuffer::new(&mut space);
     let mut parts = [IoSliceMut::new(&mut text)];
--- a/tests/races_core.rs
+++ b/tests/races_core.rs
@@ -351,6 +351,7 @@
         deadline,
         client: None,
         node_request: Rc::new(write_request(id)),
+        id_claim: None,
     }
 }
 
