An upload's time is not begun anew by reads after its bytes were left unread

What was seen: beside other tests, uploads of 12 MB at 192 MB of memory were answered 3.4 to 4.9 s after their last byte (1.5 s left), in 3 of 6 uploads of one run of the suite; never in 6 runs of the test alone. Cause: nothing left to read was taken for proof that the client has not sent its last byte. When memory to read ahead became free again, the client's system still held the rest, and what it sent came a moment later. Change: that is proof only once all that arrives has been read without delay for 50 ms, in which the client's system sends what it holds; bytes left unread for over 5 ms begin that time anew.

--- a/src/core/upload.rs
+++ b/src/core/upload.rs
@@ -115,6 +115,10 @@
     ended_at: Cell<Option<Instant>>,
     /// Until when the client is known not to have sent the last byte.
     incomplete_until: Cell<Instant>,
+    /// Since when all that arrived has been read without delay; `None` after a time in which it was not.
+    drained_since: Cell<Option<Instant>>,
+    /// When the last poll of the source returned bytes, if it did.
+    bytes_polled_at: Cell<Option<Instant>>,
     /// Whether the source has failed before the body's last byte.
     failed: Cell<bool>,
     /// The failure, if it was found while reading ahead and is still to be passed on.
@@ -132,6 +136,10 @@
 impl UploadStream {
     /// Maximum time for which a node may accept no bytes of the body before its attempt ends as stalled.
     const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+    /// Time within which bytes that have arrived are read if nothing delays it.
+    const PROMPT_READ_TIME: Duration = Duration::from_millis(5);
+    /// Time in which a client's system sends all that it holds, once there is room: its send buffer at 1 Gbit/s.
+    const SEND_BUFFER_TIME: Duration = Duration::from_millis(50);
     /// How long after the client was known to be connected an attempt may begin. No attempt may begin more than 0.1 s
     /// after its client has disconnected; the remaining 20 ms allow for the transit of the first byte to the node.
     const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(80);
@@ -162,6 +170,8 @@
             last_received: Cell::new(now),
             ended_at: Cell::new(None),
             incomplete_until: Cell::new(now),
+            drained_since: Cell::new(None),
+            bytes_polled_at: Cell::new(None),
             failed: Cell::new(false),
             failure: Cell::new(None),
             client_confirmed_at: Cell::new(None),
@@ -209,10 +219,7 @@
         }
         let polled = self.source.borrow_mut().as_mut().poll_next(cx);
         let now = Instant::now();
-        if polled.is_pending() {
-            // All that the client has sent is received.
-            self.incomplete_until.set(now);
-        }
+        self.note_poll(polled.is_pending(), now);
         let chunk = ready!(polled);
         self.last_progress.set(now);
         match &chunk {
@@ -229,6 +236,24 @@
         Poll::Ready(chunk)
     }
 
+    /// Notes a poll of the source. The client can't have sent the last byte while nothing is to be read, provided that
+    /// its system had the time to send what it holds: while bytes were left unread, it may have held back some.
+    fn note_poll(&self, is_pending: bool, now: Instant) {
+        let was_left_unread = |at: Instant| now.duration_since(at) > UploadStream::PROMPT_READ_TIME;
+        if self.bytes_polled_at.get().is_some_and(was_left_unread) {
+            self.drained_since.set(None);
+        }
+        self.bytes_polled_at.set(Some(now).filter(|_| !is_pending));
+        if !is_pending {
+            return;
+        }
+        let drained_since = self.drained_since.get().unwrap_or(now);
+        self.drained_since.set(Some(drained_since));
+        if now.duration_since(drained_since) >= UploadStream::SEND_BUFFER_TIME {
+            self.incomplete_until.set(now);
+        }
+    }
+
     /// When the last byte was received; `None` while more bytes are expected.
     pub fn ended_at(&self) -> Option<Instant> {
         self.ended_at.get()
@@ -243,7 +268,8 @@
         let now = Instant::now();
         let is_ended = self.ended_at.get().is_some();
         let is_due = now >= self.incomplete_until.get() + self.response_timeout;
-        if is_due && !is_ended && client.is_some_and(|client| client.has_nothing_unread()) {
+        let is_quiet = self.last_received.get().elapsed() >= UploadStream::SEND_BUFFER_TIME;
+        if is_due && !is_ended && is_quiet && client.is_some_and(|client| client.has_nothing_unread()) {
             self.incomplete_until.set(now);
         }
         let client_deadline = self.incomplete_until.get() + self.response_timeout;
--- a/tests/late_bodies.rs
+++ b/tests/late_bodies.rs
@@ -216,7 +216,7 @@
 
 fn play_slow_uploads(case: SlowUploads) {
     const TIME_LEFT_S: f64 = 1.5;
-    const UPLOADS: usize = 6;
+    const UPLOADS: usize = 16;
     let node = slow_reading_node(case.piece_bytes);
     let discovery = Discovery::start(&[entry("s-0", node, 0, "ready")]);
     let memory = format!("\"memory_mb\":{}", case.memory_mb);
