HTTP/2: a stream is admitted before a task is spent on it, answers wait for the socket

What was seen (tests/slow_crowds.rs, 300 clients at 32 MB): 59 to 64 MB with clients that open their windows wide, ask for 100 answers and read none. Each stream had a task and its future before it was admitted, up to 4,096; h2 took bytes of answers for a socket that was full, as far as the client's windows went; and 200 connections held about 100 KB each for their library, which nothing counted. Change: the request's permit is taken when the stream is opened, and without one the stream is refused (REFUSED_STREAM, as where streams run short). SendGate: at most 16 KiB of answers are passed to h2 before it has written all it had. A connection reserves 96 KiB, all of them a quarter of the memory for peers; a further one gets GOAWAY (NO_ERROR) before any stream is processed.

--- a/crates/streams/src/frames.rs
+++ b/crates/streams/src/frames.rs
@@ -1,4 +1,4 @@
-//! Parses frame headers from a byte stream that arrives in reads of any size. Payloads are skipped; parsing them is
+//! Encodes frames that end a connection, and parses frame headers from a byte stream that arrives in reads of any size. Payloads are skipped; parsing them is
 //! left to the HTTP/2 library.
 
 use thiserror::Error;
@@ -61,6 +61,16 @@
     pub stream: u32,
 }
 
+/// The frames of a server that ends a connection before it processes any stream: SETTINGS, then a GOAWAY with this error
+/// code (section 7) and text.
+pub fn goaway_frames(error_code: u32, text: &str) -> Vec<u8> {
+    const LAST_STREAM: [u8; 4] = [0; 4];
+    let frame = |length, kind| FrameHeader { length, kind, flags: 0, stream: 0 }.encode();
+    let settings = frame(0, kind::SETTINGS);
+    let goaway = frame((LAST_STREAM.len() + size_of::<u32>() + text.len()) as u32, kind::GOAWAY);
+    [&settings[..], &goaway, &LAST_STREAM, &error_code.to_be_bytes(), text.as_bytes()].concat()
+}
+
 impl FrameHeader {
     /// Decodes a frame header.
     pub fn decode(bytes: &[u8; HEADER_BYTES]) -> FrameHeader {
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -4,9 +4,9 @@
 use crate::frontend::accept::accept;
 use crate::frontend::closing::{self, CloseReason, ServiceEnd};
 use crate::frontend::intake::{ConnectionState, ExchangeError, Exchanges};
-use crate::frontend::request::{FrontendContext, ResponseBody};
+use crate::frontend::request::{FrontendContext, RequestInfo, ResponseBody};
 use crate::resources::descriptors::{AcceptSlot, ClientSlot, ConnectionKind};
-use flaxgap_streams::frames::{FrameHeader, kind};
+use flaxgap_streams::frames::goaway_frames;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
@@ -43,16 +43,6 @@
     pub context: Rc<FrontendContext<T>>,
 }
 
-/// The response to a client that speaks HTTP/2: SETTINGS, then a GOAWAY with `HTTP_1_1_REQUIRED`.
-fn http1_required_frames() -> Vec<u8> {
-    let debug_data = b"this port speaks HTTP/1.1";
-    let last_stream = [0; 4];
-    let frame = |length, kind| FrameHeader { length, kind, flags: 0, stream: 0 }.encode();
-    let settings = frame(0, kind::SETTINGS);
-    let goaway = frame(8 + debug_data.len() as u32, kind::GOAWAY);
-    [&settings[..], &goaway, &last_stream, &HTTP_1_1_REQUIRED.to_be_bytes(), debug_data].concat()
-}
-
 /// The service that hyper calls with the requests of one connection.
 struct ConnectionService<T> {
     frontend: Rc<HttpFrontend<T>>,
@@ -97,10 +87,11 @@
         let framing_ambiguous = self.state.service_began();
         Box::pin(async move {
             let client: Rc<dyn Client> = service.state.clone();
+            let info = RequestInfo { body_grace, framing_ambiguous, client: Some(client), permit: None };
             let context = &service.frontend.context;
             let mut response = tokio::select! {
                 biased;
-                response = context.answer(request, body_grace, framing_ambiguous, Some(client)) => response,
+                response = context.answer(request, info) => response,
                 () = service.state.body_rejected() => context.reject_slow_body(),
             };
             service.state.answer_begun();
@@ -238,7 +229,7 @@
         }
         if self.state.speaks_http2() {
             log::info!("http: HTTP/2 on the port of HTTP/1.1");
-            let written = stream.try_write(&http1_required_frames());
+            let written = stream.try_write(&goaway_frames(HTTP_1_1_REQUIRED, "this port speaks HTTP/1.1"));
             log::debug!("http: HTTP_1_1_REQUIRED sent, result={written:?}");
         }
         match result {
--- a/src/frontend/http2.rs
+++ b/src/frontend/http2.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod frame_guard;
 mod request_body;
+mod send_gate;
 mod stream;
 
 use crate::core::Transport;
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -1,6 +1,7 @@
 //! Serves one HTTP/2 connection: preface, streams and graceful shutdown.
 
 use super::frame_guard::{FrameGuard, InspectedStream, Violation};
+use super::send_gate::SendGate;
 use super::{Http2Frontend, stream};
 use crate::core::{Transport, seconds};
 use crate::frontend::closing::{CloseReason, ServiceEnd, SharedStream};
@@ -8,7 +9,7 @@
 use bytes::Bytes;
 use flaxgap_streams::abuse::FrameBudgets;
 use flaxgap_streams::admission::Connection;
-use flaxgap_streams::frames::{NotHttp2, PREFACE, Scanner};
+use flaxgap_streams::frames::{NotHttp2, PREFACE, Scanner, goaway_frames};
 use flaxgap_streams::graceful_shutdown::{Action, Cause, GracefulShutdown};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
@@ -22,6 +23,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout};
 
+/// Error code of a GOAWAY that ends a connection of which no stream was processed (RFC 9113, section 7).
+const NO_ERROR: u32 = 0;
 /// Pause before the first bytes of a client are looked at again, if they are not enough to detect its protocol.
 const PREFACE_RECHECK_PAUSE: Duration = Duration::from_millis(10);
 /// Time-out of the last write to a connection that is being closed.
@@ -84,8 +87,17 @@
             return done;
         }
     }
+    let Some(_memory) = frontend.context.memory.try_reserve_http2_connection() else {
+        counters.http2_refused.add();
+        let frames = goaway_frames(NO_ERROR, "no memory for another connection");
+        let written = stream.try_write(&frames);
+        log::debug!("http2: no memory for a connection, result={written:?}");
+        return done;
+    };
     let guard = FrameGuard::new(FrameBudgets::new(frontend.settings.frame_limits, 0.0), opened_at);
-    let inspected = InspectedStream { stream: SharedStream(stream), guard: guard.clone() };
+    let send_gate: Rc<SendGate> = Rc::default();
+    let stream = SharedStream(stream);
+    let inspected = InspectedStream { stream, guard: guard.clone(), send_gate: send_gate.clone() };
     let library = match timeout(
         handshake_timeout.saturating_sub(opened_at.elapsed()),
         library_builder(frontend).handshake::<_, Bytes>(inspected),
@@ -114,6 +126,7 @@
         admission: admitted.connection,
         slot,
         guard,
+        send_gate,
         graceful_shutdown,
         opened_at,
         ended_sender,
@@ -208,6 +221,7 @@
     admission: Connection,
     slot: &'a ClientSlot,
     guard: Rc<FrameGuard>,
+    send_gate: Rc<SendGate>,
     /// Decides when the connection shuts down.
     graceful_shutdown: GracefulShutdown,
     opened_at: Instant,
@@ -323,7 +337,8 @@
             self.slot.decline_reclaim();
             self.slot.mark_in_use();
         }
-        if stream::admit(self.frontend, self.admission, request, respond, &self.ended_sender) {
+        if stream::admit(self.frontend, self.admission, request, respond, &self.ended_sender, &self.send_gate)
+        {
             self.graceful_shutdown.stream_opened();
         } else if was_idle {
             self.slot.mark_idle();
--- a/src/frontend/http2/frame_guard.rs
+++ b/src/frontend/http2/frame_guard.rs
@@ -1,5 +1,6 @@
 //! Inspects the frames of a connection before `h2` receives them, and reports violations that end the connection.
 
+use super::send_gate::SendGate;
 use crate::frontend::closing::SharedStream;
 use flaxgap_streams::abuse::{FloodKind, FrameBudgets};
 use flaxgap_streams::frames::{NotHttp2, Scanner};
@@ -97,10 +98,11 @@
     }
 }
 
-/// A connection whose frames are inspected as they arrive.
+/// A connection whose frames are inspected as they arrive, and whose writes open and close the gate of its answers.
 pub(super) struct InspectedStream {
     pub(super) stream: SharedStream,
     pub(super) guard: Rc<FrameGuard>,
+    pub(super) send_gate: Rc<SendGate>,
 }
 
 impl AsyncRead for InspectedStream {
@@ -122,10 +124,16 @@
 
 impl AsyncWrite for InspectedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if written.is_pending() {
+            self.send_gate.blocked();
+        }
+        written
     }
 
+    /// Opens the gate: `h2` flushes after it has written all of its buffer.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.send_gate.flushed();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/src/frontend/http2/stream.rs
+++ b/src/frontend/http2/stream.rs
@@ -2,10 +2,12 @@
 
 use super::Http2Frontend;
 use super::request_body::RequestBody;
+use super::send_gate::SendGate;
 use crate::core::{Transport, seconds};
-use crate::frontend::request::ResponseBody;
+use crate::frontend::request::{RequestInfo, ResponseBody};
+use crate::resources::admission::{Overload, RequestPermit};
 use bytes::{Buf, Bytes};
-use flaxgap_streams::admission::Connection;
+use flaxgap_streams::admission::{Connection, RefusalReason};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
 use http_body_util::BodyExt;
@@ -15,7 +17,7 @@
 use hyper::{Request, Response, StatusCode};
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc;
@@ -60,21 +62,25 @@
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     ended: &mpsc::UnboundedSender<()>,
+    send_gate: &Rc<SendGate>,
 ) -> bool {
     let counters = &frontend.context.counters;
-    let opened = frontend.admission.borrow_mut().open(connection);
-    if let Err(reason) = opened {
-        counters.http2_refused.add();
-        log::debug!("http2: stream refused: {reason}");
-        respond.send_reset(Reason::REFUSED_STREAM);
-        return false;
-    }
+    let permit = match admit_request(frontend, connection) {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            counters.http2_refused.add();
+            log::debug!("http2: stream refused: {refusal}");
+            respond.send_reset(Reason::REFUSED_STREAM);
+            return false;
+        }
+    };
     counters.http2_streams.add();
     let admitted = AdmittedStream { frontend: frontend.clone(), connection, ended: ended.clone() };
+    let send_gate = send_gate.clone();
     tokio::task::spawn_local(async move {
         let frontend = &admitted.frontend;
         let counters = &frontend.context.counters;
-        match serve(frontend, request, &mut respond).await {
+        match serve(frontend, request, &mut respond, &send_gate, permit).await {
             Ok(()) => {}
             Err(StreamError::Reset) => counters.http2_resets.add(),
             Err(error) => {
@@ -88,12 +94,33 @@
     true
 }
 
+/// Why a stream is refused.
+#[derive(Debug, Error)]
+enum StreamRefusal {
+    #[error(transparent)]
+    Streams(#[from] RefusalReason),
+    #[error("short of {0}")]
+    Overload(#[from] Overload),
+}
+
+/// Admits the request of a stream, before a task or any memory is spent on it.
+fn admit_request<T>(
+    frontend: &Http2Frontend<T>,
+    connection: Connection,
+) -> Result<RequestPermit, StreamRefusal> {
+    let permit = frontend.context.admission.admit_request()?;
+    frontend.admission.borrow_mut().open(connection)?;
+    Ok(permit)
+}
+
 /// Serves a stream up to the last byte of its answer. If the client resets the stream, the request's future is dropped,
 /// and with it the attempt at the node.
 async fn serve<T: Transport + 'static>(
     frontend: &Http2Frontend<T>,
     request: Request<RecvStream>,
     respond: &mut SendResponse<Bytes>,
+    send_gate: &SendGate,
+    permit: RequestPermit,
 ) -> Result<(), StreamError> {
     let (head, body) = request.into_parts();
     if expects_continue(&head) && !body.is_end_stream() {
@@ -104,10 +131,16 @@
     let length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
     let authority_ambiguous = !has_one_authority(&head);
     let request = Request::from_parts(head, RequestBody::new(body, length));
+    let request_info = RequestInfo {
+        body_grace: BODY_GRACE,
+        framing_ambiguous: authority_ambiguous,
+        client: None,
+        permit: Some(permit),
+    };
     let response = tokio::select! {
         biased;
         _ = poll_fn(|cx| respond.poll_reset(cx)) => return Err(StreamError::Reset),
-        response = frontend.context.answer(request, BODY_GRACE, authority_ambiguous, None) => response,
+        response = frontend.context.answer(request, request_info) => response,
     };
     let (mut head, mut body) = response.into_parts();
     if let Some(length) = body.size_hint().exact() {
@@ -117,7 +150,7 @@
     let mut send = respond.send_response(Response::from_parts(head, ()), is_empty)?;
     if !is_empty {
         let stall_timeout = seconds(frontend.settings.stall_timeout_s);
-        send_body(&mut body, &mut send, stall_timeout).await?;
+        send_body(&mut body, &mut send, send_gate, stall_timeout).await?;
     }
     Ok(())
 }
@@ -143,6 +176,7 @@
 async fn send_body(
     body: &mut ResponseBody,
     send: &mut SendStream<Bytes>,
+    send_gate: &SendGate,
     stall_timeout: Duration,
 ) -> Result<(), StreamError> {
     loop {
@@ -152,7 +186,7 @@
             frame = body.frame() => frame,
         };
         match frame.map(|frame| frame.map(Frame::into_data)) {
-            Some(Ok(Ok(data))) => send_data(data, send, stall_timeout).await?,
+            Some(Ok(Ok(data))) => send_data(data, send, send_gate, stall_timeout).await?,
             // Trailers are not forwarded.
             Some(Ok(Err(_))) => {}
             Some(Err(_)) => {
@@ -167,28 +201,45 @@
     }
 }
 
-/// Sends bytes as the client's flow-control window allows. Resets the stream if the window stays closed for
-/// `stall_timeout`.
+/// Sends bytes as the client's flow-control window and the gate of the connection allow. Resets the stream if one of
+/// them stays closed for `stall_timeout`.
 async fn send_data(
     mut data: Bytes,
     send: &mut SendStream<Bytes>,
+    send_gate: &SendGate,
     stall_timeout: Duration,
 ) -> Result<(), StreamError> {
     while data.has_remaining() {
         send.reserve_capacity(data.len());
-        // Checked first, since capacity may be available on a stream that was reset.
-        let capacity = poll_fn(|cx| match send.poll_reset(cx) {
-            Poll::Ready(_) => Poll::Ready(Err(StreamError::Reset)),
-            Poll::Pending => send.poll_capacity(cx).map(Ok),
-        });
+        let capacity = async {
+            tokio::select! {
+                biased;
+                _ = poll_fn(|cx| send.poll_reset(cx)) => return Err(StreamError::Reset),
+                () = send_gate.wait_open() => {}
+            }
+            poll_fn(|cx| poll_capacity(send, cx)).await
+        };
         let Ok(capacity) = timeout(stall_timeout, capacity).await else {
             send.send_reset(Reason::CANCEL);
             return Err(StreamError::Stalled);
         };
         let capacity = capacity?.transpose()?.unwrap_or(0).min(data.len());
         if capacity > 0 {
+            send_gate.bytes_passed(capacity);
             send.send_data(data.split_to(capacity), false)?;
         }
     }
     Ok(())
 }
+
+/// Polls for bytes that the client's flow-control window allows.
+fn poll_capacity(
+    send: &mut SendStream<Bytes>,
+    cx: &mut Context<'_>,
+) -> Poll<Result<Option<Result<usize, h2::Error>>, StreamError>> {
+    // Checked first, since capacity may be available on a stream that was reset.
+    match send.poll_reset(cx) {
+        Poll::Ready(_) => Poll::Ready(Err(StreamError::Reset)),
+        Poll::Pending => send.poll_capacity(cx).map(Ok),
+    }
+}
--- a/src/frontend/request.rs
+++ b/src/frontend/request.rs
@@ -15,7 +15,7 @@
 use crate::core::{Call, Client, Dispatcher, NodeRequest, Operation, Transport, seconds};
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::metrics::counters::{Counters, FinalOutcome, InFlightRequest};
-use crate::resources::admission::{Admission, Overload, SlowTransferPermit};
+use crate::resources::admission::{Admission, Overload, RequestPermit, SlowTransferPermit};
 use crate::resources::descriptors::DescriptorBudget;
 use crate::resources::memory::{BodyError, GatheredBody, MemoryBudget};
 use bytes::Bytes;
@@ -56,20 +56,25 @@
     pub counters: Rc<Counters>,
 }
 
+/// What a frontend knows of a request beside its fields and body.
+pub struct RequestInfo {
+    /// Time that the body may take beyond its transfer at the minimum rate.
+    pub body_grace: Duration,
+    /// Whether the end of the body or the authority can't be determined, so that the request is rejected.
+    pub framing_ambiguous: bool,
+    /// Tells whether the client is still connected, if the protocol can find out.
+    pub client: Option<Rc<dyn Client>>,
+    /// The memory of the request, if the frontend has admitted it already.
+    pub permit: Option<RequestPermit>,
+}
+
 impl<T: Transport + 'static> FrontendContext<T> {
-    /// Answers a request. `body_grace` is the time that the body may take beyond its transfer at the minimum rate.
-    /// `framing_ambiguous` rejects the request, since the end of its body or its authority can't be determined.
-    /// `client` tells whether the client is still connected, if the protocol can find out.
-    pub async fn answer<B>(
-        &self,
-        request: Request<B>,
-        body_grace: Duration,
-        framing_ambiguous: bool,
-        client: Option<Rc<dyn Client>>,
-    ) -> Response<ResponseBody>
+    /// Answers a request.
+    pub async fn answer<B>(&self, request: Request<B>, info: RequestInfo) -> Response<ResponseBody>
     where
         B: Body<Data = Bytes> + Unpin + 'static,
     {
+        let RequestInfo { body_grace, framing_ambiguous, client, permit } = info;
         if let Some(response) = self.answer_status_path(request.uri().path()) {
             return response;
         }
@@ -84,7 +89,7 @@
             Err(error) => return self.reject(&error),
         };
         let in_flight = self.counters.track_request(fields.class);
-        let permit = match self.admission.admit_request() {
+        let permit = match permit.map_or_else(|| self.admission.admit_request(), Ok) {
             Ok(permit) => permit,
             Err(overload) => return reject_overloaded(overload, &in_flight),
         };
--- a/src/resources/memory.rs
+++ b/src/resources/memory.rs
@@ -24,6 +24,11 @@
 pub const REQUEST_BYTES: usize = 40 * 1024;
 /// Memory of a connection to a node, in bytes: the read and write buffers of the HTTP library.
 pub const NODE_CONNECTION_BYTES: usize = 28 * 1024;
+/// Memory of a connection of the HTTP/2 frontend, in bytes: the buffers and field tables of the HTTP library, and its
+/// state of the streams that were open at the same time.
+const HTTP2_CONNECTION_BYTES: usize = 96 * 1024;
+/// Divisor of the limit that gives the part that connections of the HTTP/2 frontend may hold together.
+const HTTP2_DIVISOR: usize = 4;
 /// Divisor of the limit that gives the part that bodies leave free for requests and connections to nodes.
 const BODIES_DIVISOR: usize = 2;
 /// Divisor of the limit that gives the part that requests leave free for connections to nodes: accepting a request is
@@ -41,6 +46,8 @@
     body_bytes: AtomicUsize,
     /// Bytes reserved for requests in progress and connections to nodes.
     exchange_bytes: AtomicUsize,
+    /// Bytes reserved for connections of the HTTP/2 frontend.
+    http2_bytes: AtomicUsize,
     /// Whether the overdraft is held by a reservation.
     is_overdrawn: AtomicBool,
     /// Notified when bytes are released.
@@ -52,11 +59,13 @@
         match purpose {
             Purpose::Body => &self.body_bytes,
             Purpose::Exchange => &self.exchange_bytes,
+            Purpose::Http2Connection => &self.http2_bytes,
         }
     }
 
     fn total(&self) -> usize {
-        self.body_bytes.load(Ordering::Relaxed) + self.exchange_bytes.load(Ordering::Relaxed)
+        let counts = [&self.body_bytes, &self.exchange_bytes, &self.http2_bytes];
+        counts.iter().map(|bytes| bytes.load(Ordering::Relaxed)).sum()
     }
 
     fn release(&self, purpose: Purpose, bytes: usize) {
@@ -74,6 +83,8 @@
     Body,
     /// The fixed memory of a request in progress or of a connection to a node.
     Exchange,
+    /// The fixed memory of a connection of the HTTP/2 frontend.
+    Http2Connection,
 }
 
 /// A reservation of memory, released when dropped.
@@ -120,7 +131,7 @@
 pub struct ReservedMemory {
     /// Bytes of bodies, long heads and pipelined requests.
     pub body_bytes: usize,
-    /// Bytes of requests in progress and connections to nodes.
+    /// Bytes of requests in progress, connections to nodes and connections of the HTTP/2 frontend.
     pub exchange_bytes: usize,
     /// Bytes that may be reserved in all.
     pub limit_bytes: usize,
@@ -183,7 +194,7 @@
     pub fn usage(&self) -> ReservedMemory {
         ReservedMemory {
             body_bytes: self.in_use.body_bytes.load(Ordering::Relaxed),
-            exchange_bytes: self.in_use.exchange_bytes.load(Ordering::Relaxed),
+            exchange_bytes: self.in_use.total() - self.in_use.body_bytes.load(Ordering::Relaxed),
             limit_bytes: self.limit_bytes(),
         }
     }
@@ -209,6 +220,16 @@
         self.reserve_exchange(NODE_CONNECTION_BYTES, self.limit_bytes())
     }
 
+    /// Reserves the memory of a connection of the HTTP/2 frontend, or returns `None` if those that are open hold all that
+    /// they may hold together.
+    pub fn try_reserve_http2_connection(&self) -> Option<MemoryReservation> {
+        let limit = self.limit_bytes();
+        let bytes = HTTP2_CONNECTION_BYTES;
+        let held_bytes = self.in_use.http2_bytes.load(Ordering::Relaxed);
+        let fits = held_bytes + bytes <= limit / HTTP2_DIVISOR && self.in_use.total() + bytes <= limit;
+        fits.then(|| self.reservation(Purpose::Http2Connection, bytes))
+    }
+
     fn reserve_exchange(&self, bytes: usize, limit: usize) -> Option<MemoryReservation> {
         let fits = self.in_use.total() + bytes <= limit;
         fits.then(|| self.reservation(Purpose::Exchange, bytes))
--- a/tests/peers/crowd.rs
+++ b/tests/peers/crowd.rs
@@ -1,6 +1,8 @@
 //! Crowds of clients that hold much of a head for long: each writes slowly, stops half way, reads slowly or says nothing.
 
 use super::Client;
+use super::frames::{self, frame};
+use flaxgap_streams::frames::{PREFACE, flag, kind};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,10 +48,23 @@
     Pipelines,
     /// Sends unsound requests at full speed, each with a new name.
     Unsound,
+    /// Sends bodies on many streams, as much as the windows allow, and then nothing (HTTP/2).
+    FillsWindows,
+    /// Opens its windows wide, asks for many answers and reads none (HTTP/2).
+    ReadsNoStream,
+    /// Sends a list of fields without an end (HTTP/2).
+    EndlessFields,
+    /// Opens streams and resets them at full speed (HTTP/2).
+    ResetsStreams,
 }
 
 impl Habit {
-    pub const ALL: [Habit; 12] = [
+    /// Habits of clients of HTTP/2.
+    pub const HTTP2: [Habit; 4] =
+        [Habit::FillsWindows, Habit::ReadsNoStream, Habit::EndlessFields, Habit::ResetsStreams];
+
+    /// Habits of clients of HTTP/1.1.
+    pub const HTTP1: [Habit; 12] = [
         Habit::Silent,
         Habit::ManyFields,
         Habit::LongHead,
@@ -98,7 +113,7 @@
 
 async fn connect_and_act(http: SocketAddr, habit: Habit) -> std::io::Result<()> {
     let socket = TcpSocket::new_v4()?;
-    if matches!(habit, Habit::ReadsSlowly | Habit::DoesNotRead) {
+    if matches!(habit, Habit::ReadsSlowly | Habit::DoesNotRead | Habit::ReadsNoStream) {
         socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER)?;
     }
     let mut stream = socket.connect(http).await?;
@@ -159,10 +174,58 @@
                 return Ok(());
             }
         },
+        Habit::FillsWindows => {
+            stream.write_all(&http2_preface()).await?;
+            for id in (1..64).step_by(2) {
+                stream.write_all(&http2_upload(id)).await?;
+                for _ in 0..4 {
+                    stream.write_all(&frame(kind::DATA, 0, id, &[b'x'; 16_000])).await?;
+                }
+            }
+            sleep(STAY).await;
+        }
+        Habit::ReadsNoStream => {
+            stream.write_all(&http2_preface()).await?;
+            for id in (1..200).step_by(2) {
+                stream.write_all(&frames::read_of(id, "medium")).await?;
+            }
+            sleep(STAY).await;
+        }
+        Habit::EndlessFields => {
+            stream.write_all(&http2_preface()).await?;
+            let block = vec![b'v'; 16_000];
+            stream.write_all(&frame(kind::HEADERS, 0, 1, &block)).await?;
+            sleep(STAY).await;
+        }
+        Habit::ResetsStreams => {
+            stream.write_all(&http2_preface()).await?;
+            for id in (1..100_000).step_by(2) {
+                stream.write_all(&frames::read(id)).await?;
+                stream
+                    .write_all(&frame(kind::RST_STREAM, 0, id, &frames::code::CANCEL.to_be_bytes()))
+                    .await?;
+            }
+        }
     }
     Ok(())
 }
 
+/// The preface of a client whose windows take all that a head may send.
+fn http2_preface() -> Vec<u8> {
+    const INITIAL_WINDOW_SIZE: u16 = 4;
+    const MAX_WINDOW: u32 = i32::MAX as u32;
+    const DEFAULT_WINDOW: u32 = 65_535;
+    let settings = frames::settings(&[(INITIAL_WINDOW_SIZE, MAX_WINDOW)]);
+    [PREFACE, &settings, &frames::update(0, MAX_WINDOW - DEFAULT_WINDOW)].concat()
+}
+
+/// The fields of an upload on a stream, whose body follows.
+fn http2_upload(stream: u32) -> Vec<u8> {
+    let mut pairs = frames::request("PUT", "episode-save");
+    pairs.push(("content-length".into(), LONG_BODY.to_string()));
+    frame(kind::HEADERS, flag::END_HEADERS, stream, &frames::encode(&pairs))
+}
+
 async fn read_slowly(stream: &mut TcpStream) -> std::io::Result<()> {
     let mut piece = [0; PIECE_BYTES];
     while stream.read(&mut piece).await? > 0 {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -594,7 +594,8 @@
         self.signal("-HUP");
     }
 
-    fn address(&self, after: &str) -> SocketAddr {
+    /// An address that a log line ends with.
+    pub fn address(&self, after: &str) -> SocketAddr {
         wait(|| self.logged(after).and_then(|line| line.rsplit(' ').next()?.parse().ok()))
     }
 
--- a/tests/slow_crowds.rs
+++ b/tests/slow_crowds.rs
@@ -71,10 +71,15 @@
     let text = config(&discovery, DESCRIPTORS, "null")
         .replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}"))
         .replace("\"base_rate\":400.0,\"name\":\"network\",\"reserve\":400.0", UNLIMITED_PLAN);
-    let mut head = Head::start_text(&text, None, &[]);
+    let operators_file = std::env::temp_dir().join(format!("flaxgap-crowds-{}", std::process::id()));
+    std::fs::write(&operators_file, "[http2]\nlisten = \"127.0.0.1:0\"\n").expect("written");
+    let mut head =
+        Head::start_text(&text, None, &[("FLAXGAP_OPS", operators_file.to_str().expect("a path"))]);
+    let http2 = head.address("http2: listening on ");
     let memory = PeakMemory::watch(head.pid());
     let usual_clients = UsualClients::start(head.http, USUAL_CLIENTS);
-    let crowd = Crowd::start(head.http, habits, count);
+    let is_http2 = habits.iter().all(|habit| Habit::HTTP2.contains(habit));
+    let crowd = Crowd::start(if is_http2 { http2 } else { head.http }, habits, count);
     thread::sleep(TIME);
     drop(crowd);
     let outcomes = usual_clients.stop();
@@ -126,6 +131,14 @@
 #[test]
 fn a_mixed_crowd_passes_no_memory_limit_and_loses_no_other_request() {
     for (count, memory_mb) in [(300, 32), (900, 32), (600, 48), (900, 192)] {
-        play(&Habit::ALL, count, memory_mb);
+        play(&Habit::HTTP1, count, memory_mb);
     }
 }
+
+#[test]
+fn a_crowd_of_http2_passes_no_memory_limit_and_loses_no_other_request() {
+    for habit in Habit::HTTP2 {
+        play(&[habit], CROWD, MEMORY_MB);
+    }
+    play(&Habit::HTTP2, CROWD, MEMORY_MB);
+}
