Soak: crowds, pausing nodes, leaving clients, ids used twice, memory against its limit

Cause: the clients of the soak wrote and read fast, stayed and never used an id twice, and its head had 192 MB, so none of the faults of the incident could show. Change: seeded events for crowds of three habits out of twelve (50 to 300 clients), nodes that pause for 0.7 s within an answer, clients that leave and send the same id again, also across an upgrade; memory limits of 32, 48, 96 and 192 MB. New rules: resident memory stays within the limit, no attempt begins 0.1 s after its client left (and the 0.15 s for which a head may be held up), an id that a node has seen is not taken again.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,6 +5,7 @@
 pub mod crowd;
 pub mod frames;
 pub mod initiator;
+pub mod peak_memory;
 pub mod recorder;
 pub mod timing;
 pub mod usual_clients;
--- a/tests/slow_crowds.rs
+++ b/tests/slow_crowds.rs
@@ -6,11 +6,10 @@
 mod peers;
 
 use peers::crowd::{Crowd, Habit};
+use peers::peak_memory::PeakMemory;
 use peers::usual_clients::UsualClients;
 use peers::*;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::Duration;
 
 /// The least memory that the platform gives a head, in MiB.
@@ -24,33 +23,6 @@
 /// How long a crowd stays.
 const TIME: Duration = Duration::from_secs(5);
 
-/// Samples a process's resident memory and keeps the highest value.
-struct PeakMemory {
-    peak_kib: Arc<AtomicUsize>,
-    over: Arc<AtomicBool>,
-    sampler: JoinHandle<()>,
-}
-
-impl PeakMemory {
-    fn watch(pid: u32) -> PeakMemory {
-        let (peak_kib, over): (Arc<AtomicUsize>, Arc<AtomicBool>) = Default::default();
-        let (peak, stop) = (peak_kib.clone(), over.clone());
-        let sampler = thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) {
-                peak.fetch_max(resident_kib(pid), Ordering::SeqCst);
-                thread::sleep(Duration::from_millis(20));
-            }
-        });
-        PeakMemory { peak_kib, over, sampler }
-    }
-
-    fn stop(self) -> usize {
-        self.over.store(true, Ordering::SeqCst);
-        self.sampler.join().expect("the sampler ends");
-        self.peak_kib.load(Ordering::SeqCst)
-    }
-}
-
 /// A node that serves long and medium answers on request, and short ones otherwise.
 fn node() -> Brick {
     let long = vec![b'x'; 8 << 20];
@@ -83,7 +55,7 @@
     thread::sleep(TIME);
     drop(crowd);
     let outcomes = usual_clients.stop();
-    let peak_mib = memory.stop().div_ceil(1024);
+    let peak_mib = memory.stop_mib();
     println!("{habits:?} x{count}: {peak_mib} of {memory_mb} MiB, {outcomes:?}");
     assert!(peak_mib <= memory_mb, "{habits:?} x{count}: {peak_mib} MiB of {memory_mb}");
     assert_eq!((outcomes.lost, outcomes.shut), (0, 0), "{habits:?} x{count}: {outcomes:?}");
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,15 +1,19 @@
 //! A soak of the real program: one seed gives the whole run, that is, which node hangs, resets or drains when, when sources
 //! fall silent and the head moves between them (SIGHUP in series), whether there is a crowd of idle clients, and how the head
 //! ends (SIGTERM once or twice, alone or with a newer process that takes over), with SIGKILL at the earliest that the platform's
-//! page allows. Clients go on using open connections until then.
+//! page allows. Clients go on using open connections until then. Beside them crowds come that write and read slowly, stop
+//! half way or send floods, nodes pause in their answers, and clients leave and send the same id again, also to the other process.
 //!
 //! Checked on the wire: each request has one final answer in time, made by a node if it is served; what is rejected never
 //! ran; no two attempts of one request are at nodes at once; a draining node gets nothing new after the grace; descriptors
-//! are given back. `FLAXGAP_SOAK_SEEDS=FROM..TO` plays other seeds than those of CI. A broken rule is printed with its seed and the head's log.
+//! are given back; no attempt begins after its client left; an id that a node has seen is not taken again; the process stays
+//! within its memory limit. `FLAXGAP_SOAK_SEEDS=FROM..TO` plays other seeds than those of CI. A broken rule is printed with its seed and the head's log.
 
 mod peers;
 
-use peers::timing::{Hindrance, StampedStream, stamp_arrivals};
+use peers::crowd::{Crowd, Habit};
+use peers::peak_memory::PeakMemory;
+use peers::timing::{Hindrance, StampedStream, WallTime, stamp_arrivals, wall_time};
 use peers::*;
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
@@ -38,6 +42,12 @@
 /// Clients that send without a pause, and idle ones of a crowd.
 const CLIENTS: usize = 6;
 const CROWD: usize = 150;
+/// Memory limits that a run may have, in MiB: the least and the most that the pages name, and some between.
+const MEMORY_MB: [usize; 4] = [32, 48, 96, 192];
+/// How long after its client left an attempt may begin at the latest.
+const BEGINS_AFTER_LEFT: Duration = Duration::from_millis(100);
+/// Clients that leave, and send the id of their last request again.
+const LEAVING_CLIENTS: usize = 3;
 /// How long the faults go on before the head is told to end.
 const FAULTS_FOR: Duration = Duration::from_millis(3500);
 
@@ -70,6 +80,9 @@
 const HANGS: u8 = 1;
 const RESETS: u8 = 2;
 const TURNS_AWAY: u8 = 3;
+const PAUSES: u8 = 4;
+/// How long a node pauses within an answer: less than what is left of its client's time.
+const PAUSE: Duration = Duration::from_millis(700);
 
 /// An attempt that a node had whole.
 struct Attempt {
@@ -83,6 +96,8 @@
 #[derive(Default)]
 struct Ledger {
     attempts: Mutex<HashMap<String, Vec<Attempt>>>,
+    /// When the clients of some requests left.
+    left: Mutex<HashMap<String, WallTime>>,
     broken: Mutex<Vec<String>>,
 }
 
@@ -109,6 +124,19 @@
         of_request.len() - 1
     }
 
+    /// Checks that an attempt did not begin after its client had left. A head that is held up for the time that the
+    /// platform's page names may be later.
+    fn check_client(&self, id: &str, arrived: WallTime) {
+        let left = self.left.lock().expect("left").get(id).copied();
+        let latest = left.map(|left| left + BEGINS_AFTER_LEFT + HELD_UP);
+        if latest.is_some_and(|latest| arrived > latest) {
+            self.broke(format!(
+                "an attempt of {id} began {:?} after its client left",
+                arrived - left.unwrap_or_default()
+            ));
+        }
+    }
+
     fn end(&self, id: &str, number: usize, never_ran: bool) {
         let mut attempts = self.attempts.lock().expect("attempts");
         let attempt = &mut attempts.get_mut(id).expect("begun")[number];
@@ -155,8 +183,10 @@
     ) -> Option<()> {
         let mut from = BufReader::new(StampedStream::new(stream.try_clone().ok()?));
         let message = Message::read(&mut from)?;
-        arrivals.lock().expect("arrivals").push(from.get_mut().take_arrival().expect("a stamp"));
+        let arrived = from.get_mut().take_arrival().expect("a stamp");
+        arrivals.lock().expect("arrivals").push(arrived);
         let id = message.header("x-correlation-id").to_string();
+        ledger.check_client(&id, arrived);
         let number = ledger.begin(&id, stream);
         let mut out = stream;
         match mode.load(Ordering::SeqCst) {
@@ -175,10 +205,17 @@
                 ledger.end(&id, number, true);
                 out.write_all(b"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n").ok()
             }
-            _ => {
+            mode => {
+                let body = match &message.line {
+                    line if line.contains("?long") => id.repeat(100_000),
+                    line if line.contains("?medium") => id.repeat(3000),
+                    _ => id.clone(),
+                };
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                out.write_all(head.as_bytes()).ok()?;
+                thread::sleep(if mode == PAUSES { PAUSE } else { Duration::ZERO });
                 ledger.end(&id, number, false);
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
-                out.write_all(head.as_bytes()).ok()
+                out.write_all(body.as_bytes()).ok()
             }
         }
     }
@@ -252,6 +289,31 @@
         }
     }
 
+    /// Sends requests, leaves, and sends the same id again: once a node has seen it, it may not be taken.
+    fn leave_and_return(&self, mut random: Random) {
+        while !self.over.load(Ordering::SeqCst) {
+            let request = Client::request("play-fetch", "network", 1, DEADLINE.as_secs_f64(), 0);
+            let line = request.lines().find_map(|line| line.strip_prefix("X-Correlation-Id: "));
+            let id = line.expect("an id").to_string();
+            let Some(mut client) = Client::try_new(self.http) else { continue };
+            client.try_send_all(&request, b"");
+            thread::sleep(random.millis(0, 60));
+            drop(client);
+            self.ledger.left.lock().expect("left").insert(id.clone(), wall_time());
+            thread::sleep(random.millis(0, 300));
+            let has_run = self.ledger.may_have_run(&id);
+            // From here on a client of that id is there again.
+            self.ledger.left.lock().expect("left").remove(&id);
+            let Some(mut client) = Client::try_new(self.http) else { continue };
+            client.try_send_all(&request, b"");
+            let status = client.answer().map(|answer| answer.status());
+            // A head without memory or descriptors for a request rejects it before it looks at the id.
+            if has_run && !matches!(status, None | Some(409 | 503)) {
+                self.ledger.broke(format!("{id} was taken again, {status:?}, after a node had seen it"));
+            }
+        }
+    }
+
     fn check(&self, id: &str, is_write: bool, answer: &Message, took: Duration) {
         *self.answered.lock().expect("answered") += 1;
         if took > DEADLINE + ANSWER_SLACK {
@@ -275,6 +337,7 @@
     sources: [Discovery; 2],
     /// The source that the head follows.
     current: usize,
+    memory_mb: usize,
     log: Vec<String>,
 }
 
@@ -285,7 +348,15 @@
         let entries =
             [entry("s-0", nodes[0].address, 0, "ready"), entry("s-1", nodes[1].address, 1, "ready")];
         let sources = [0; 2].map(|_| Discovery::start(&entries));
-        Run { random: Random(seed), ledger, nodes, sources, current: 0, log: Vec::new() }
+        let mut random = Random(seed);
+        let memory_mb = MEMORY_MB[random.below(MEMORY_MB.len() as u64) as usize];
+        Run { random, ledger, nodes, sources, current: 0, memory_mb, log: Vec::new() }
+    }
+
+    /// The configuration with the source that the head follows.
+    fn configuration(&self) -> String {
+        let memory = format!("\"memory_mb\":{}", self.memory_mb);
+        config(&self.sources[self.current], 1024, "null").replace("\"memory_mb\":192", &memory)
     }
 
     fn note(&mut self, what: String) {
@@ -326,11 +397,11 @@
 
     /// One fault, and the end of it.
     fn fault(&mut self, head: &Head) {
-        match self.random.below(6) {
+        match self.random.below(9) {
             0 | 1 => self.drain(head),
             2 | 3 => {
                 let node = self.random.below(2) as usize;
-                let mode = [HANGS, RESETS, TURNS_AWAY][self.random.below(3) as usize];
+                let mode = [HANGS, RESETS, TURNS_AWAY, PAUSES][self.random.below(4) as usize];
                 let time = self.random.millis(50, 1500);
                 self.note(format!("node {node} in mode {mode} for {time:?}"));
                 self.nodes[node].mode.store(mode, Ordering::SeqCst);
@@ -344,12 +415,23 @@
                 thread::sleep(time);
                 self.sources[self.current].cut_off(false);
             }
+            5 | 6 => {
+                let habits: Vec<Habit> = (0..3)
+                    .map(|_| Habit::HTTP1[self.random.below(Habit::HTTP1.len() as u64) as usize])
+                    .collect();
+                let count = 50 + self.random.below(250) as usize;
+                let time = self.random.millis(300, 1500);
+                self.note(format!("a crowd of {count}, {habits:?}, for {time:?}"));
+                let crowd = Crowd::start(head.http, &habits, count);
+                thread::sleep(time);
+                drop(crowd);
+            }
             _ => {
                 let reloads = 1 + self.random.below(3);
                 self.note(format!("{reloads} reloads"));
                 for _ in 0..reloads {
                     self.current = 1 - self.current;
-                    head.reload(&config(&self.sources[self.current], 1024, "null"));
+                    head.reload(&self.configuration());
                     thread::sleep(self.random.millis(1, 60));
                 }
             }
@@ -378,7 +460,7 @@
         let shared = [("TMPDIR", folder.to_str().expect("a path"))];
         let takes_over = self.random.chance(50);
         let has_crowd = self.random.chance(30);
-        let mut head = Head::start(&self.sources[0], None, &shared);
+        let mut head = Head::start_text(&self.configuration(), None, &shared);
         let clients = Clients {
             ledger: self.ledger.clone(),
             http: head.http,
@@ -387,6 +469,7 @@
             answered: Mutex::default(),
         };
         let descriptors_before = head.descriptors();
+        let memory = PeakMemory::watch(head.pid());
         let mut newer = None;
         let mut crowd: Vec<TcpStream> = Vec::new();
         thread::scope(|scope| {
@@ -394,6 +477,10 @@
                 let random = Random(self.random.next() ^ number as u64);
                 scope.spawn(|| clients.run(random));
             }
+            for number in 0..LEAVING_CLIENTS {
+                let random = Random(self.random.next() ^ number as u64);
+                scope.spawn(|| clients.leave_and_return(random));
+            }
             if has_crowd {
                 crowd.extend((0..CROWD).filter_map(|_| TcpStream::connect(head.http).ok()));
             }
@@ -404,7 +491,7 @@
                 self.fault(&head);
             }
             if takes_over {
-                newer = Some(Head::start(&self.sources[self.current], None, &shared));
+                newer = Some(Head::start_text(&self.configuration(), None, &shared));
             } else {
                 *clients.term_at.lock().expect("term") = Some(Instant::now());
             }
@@ -412,13 +499,18 @@
             clients.over.store(true, Ordering::SeqCst);
         });
         drop(crowd);
+        let peak_mib = memory.stop_mib();
+        if peak_mib > self.memory_mb {
+            self.ledger.broke(format!("{peak_mib} MiB of {}", self.memory_mb));
+        }
         if let Some(newer) = &newer {
             self.check_descriptors(newer, descriptors_before);
         }
         _ = std::fs::remove_dir_all(folder);
         let answered = *clients.answered.lock().expect("answered");
         let about = format!(
-            "takes over {takes_over}, crowd {has_crowd}, {answered} answers; {}",
+            "{peak_mib} of {} MiB, takes over {takes_over}, crowd {has_crowd}, {answered} answers; {}",
+            self.memory_mb,
             self.log.join("; ")
         );
         let broken = self.ledger.broken.lock().expect("broken").clone();
