Block frontend: a command's data is reserved before it is received

Cause: the class of the memory fault. 16 sessions with 32 commands of 64 KiB each may hold 32 MB, which nothing counted. Change: a command reserves twice its length until its response is sent; without memory it ends with BUSY, counted in block_busy and rejected_memory. New: a test of one client at full speed for 5 s on each frontend, with sound and unsound requests under ever new names, pipelined ones, calls of operators, noise at the block frontend, and streams that are opened and reset. No test fills the memory through block commands.

--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -10,8 +10,8 @@
 use crate::discovery::schedule::{PollSchedule, SourceKind};
 use crate::exclusions::Exclusions;
 use crate::frontend::admin::AdminServer;
-use crate::frontend::block::BlockFrontend;
 use crate::frontend::block::config::Target;
+use crate::frontend::block::{BlockFrontend, BlockResources};
 use crate::frontend::request::FrontendContext;
 use crate::handover::{Handover, SharedParts};
 use crate::lifecycle::Lifecycle;
@@ -220,7 +220,7 @@
             self.nodes.clone(),
             target,
             self.lifecycle.clone(),
-            self.descriptors.clone(),
+            BlockResources { descriptors: self.descriptors.clone(), memory: self.memory.clone() },
             self.counters.clone(),
             seed,
         );
--- a/src/frontend/block/mod.rs
+++ b/src/frontend/block/mod.rs
@@ -15,4 +15,4 @@
 pub mod session;
 mod shared;
 
-pub use shared::BlockFrontend;
+pub use shared::{BlockFrontend, BlockResources};
--- a/src/frontend/block/session/command.rs
+++ b/src/frontend/block/session/command.rs
@@ -10,6 +10,7 @@
 use crate::core::content::Payload;
 use crate::core::{Answer, Call, NodeRequest, Operation, Transport, seconds};
 use crate::metrics::counters::FinalOutcome;
+use crate::resources::memory::MemoryReservation;
 use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
@@ -18,6 +19,10 @@
 const FINAL: u8 = 0x80;
 const READ: u8 = 0x40;
 const WRITE: u8 = 0x20;
+/// How many copies of a command's data are held at the same time.
+const DATA_COPIES: usize = 2;
+/// How long an initiator should wait with a command for which there was no memory, in seconds.
+const OVERLOADED_RETRY_AFTER_S: f64 = 1.0;
 
 impl<T: Transport + 'static> Session<T> {
     pub(super) async fn command(&mut self, pdu: Pdu) -> Result<(), SessionError> {
@@ -35,7 +40,7 @@
             self.immediate.insert(task);
         }
         let expected_length = pdu.u32_at(20) as usize;
-        let end = |result| Finished { task, expected_length, result };
+        let end = |result| Finished { task, expected_length, result, memory: None };
         if self.tasks.len() >= self.frontend.target.queue_depth as usize {
             return self.finish(end(CommandResult::TaskSetFull)).await;
         }
@@ -81,10 +86,14 @@
         let direction = if operation == Operation::Write { WRITE } else { READ };
         if pdu.flags() & direction == 0 || operation == Operation::Write && expected_length < range.length {
             let result = CommandResult::CheckCondition(scsi::INVALID_FIELD);
-            return self.finish(Finished { task, expected_length, result }).await;
+            return self.finish(Finished { task, expected_length, result, memory: None }).await;
         }
+        let Some(memory) = self.reserve_memory(&command) else {
+            let result = CommandResult::Busy { retry_after_s: OVERLOADED_RETRY_AFTER_S };
+            return self.finish(Finished { task, expected_length, result, memory: None }).await;
+        };
         if operation == Operation::Read {
-            self.start(command, Bytes::new());
+            self.start(command, Bytes::new(), memory);
             return Ok(());
         }
         let mut lun_field = [0; 8];
@@ -94,6 +103,7 @@
             command,
             lun_field,
             data,
+            memory,
             transfer_tag: NO_TAG,
             burst_end: 0,
             data_sn: 0,
@@ -102,14 +112,28 @@
         self.receive(transfer).await
     }
 
+    /// Reserves the memory of a command's data, which is copied once on its way.
+    fn reserve_memory(&self, command: &BlockCommand) -> Option<MemoryReservation> {
+        let memory = self.frontend.memory.try_reserve_buffer(DATA_COPIES * command.range.length);
+        if memory.is_none() {
+            self.frontend.counters.rejected_memory.add();
+        }
+        memory
+    }
+
     /// Spawns a task that serves a command as one request to the core.
-    pub(super) fn start(&mut self, command: BlockCommand, payload: Bytes) {
+    pub(super) fn start(&mut self, command: BlockCommand, payload: Bytes, memory: MemoryReservation) {
         let frontend = self.frontend.clone();
         let Some(call) = self.call(&command, payload) else { return };
         let task = command.task;
         let abort = self.running.spawn_local(async move {
             let result = execute(&frontend, call, &command).await;
-            Finished { task: command.task, expected_length: command.expected_length, result }
+            Finished {
+                task: command.task,
+                expected_length: command.expected_length,
+                result,
+                memory: Some(memory),
+            }
         });
         self.tasks.insert(task, Task::Running(abort));
     }
--- a/src/frontend/block/session/response.rs
+++ b/src/frontend/block/session/response.rs
@@ -19,7 +19,7 @@
 impl<T: Transport + 'static> Session<T> {
     /// Sends the response of a completed command and releases its task tag.
     pub(super) async fn finish(&mut self, finished: Finished) -> Result<(), SessionError> {
-        let Finished { task, expected_length, result } = finished;
+        let Finished { task, expected_length, result, memory: _memory } = finished;
         self.tasks.remove(&task);
         self.close_task(task);
         let mut data_in = Vec::new();
--- a/src/frontend/block/session/task.rs
+++ b/src/frontend/block/session/task.rs
@@ -3,6 +3,7 @@
 use super::super::config::BlockRange;
 use super::super::scsi::Sense;
 use crate::core::Operation;
+use crate::resources::memory::MemoryReservation;
 use bytes::{Bytes, BytesMut};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -15,6 +16,8 @@
     pub expected_length: usize,
     /// Result of the command.
     pub result: CommandResult,
+    /// Reservation for the data of the result, held until the response is sent.
+    pub memory: Option<MemoryReservation>,
 }
 
 /// The result of a command.
@@ -72,6 +75,8 @@
     pub lun_field: [u8; 8],
     /// Data received so far.
     pub data: BytesMut,
+    /// Reservation for the data.
+    pub memory: MemoryReservation,
     /// Target transfer tag of the current burst.
     pub transfer_tag: u32,
     /// Offset of the end of the current burst, in bytes.
--- a/src/frontend/block/session/write_data.rs
+++ b/src/frontend/block/session/write_data.rs
@@ -16,7 +16,7 @@
     pub(super) async fn receive(&mut self, mut transfer: WriteTransfer) -> Result<(), SessionError> {
         let (BlockCommand { task, range, .. }, received) = (transfer.command, transfer.data.len());
         if received == range.length {
-            self.start(transfer.command, transfer.data.freeze());
+            self.start(transfer.command, transfer.data.freeze(), transfer.memory);
             return Ok(());
         }
         let length = (range.length - received).min(self.params.max_burst);
@@ -90,7 +90,7 @@
             self.tasks.iter().filter(|(_, task)| is_overdue(task)).map(|(tag, _)| *tag).collect();
         for task in overdue {
             let result = CommandResult::CheckCondition(scsi::DATA_PHASE);
-            self.finish(Finished { task, expected_length: 0, result }).await?;
+            self.finish(Finished { task, expected_length: 0, result, memory: None }).await?;
         }
         Ok(())
     }
--- a/src/frontend/block/shared.rs
+++ b/src/frontend/block/shared.rs
@@ -8,10 +8,19 @@
 use crate::lifecycle::Lifecycle;
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::DescriptorBudget;
+use crate::resources::memory::MemoryBudget;
 use bytes::Bytes;
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Budgets that limit the block frontend.
+pub struct BlockResources {
+    /// Budget of file descriptors.
+    pub descriptors: Rc<DescriptorBudget>,
+    /// Budget of memory held for initiators.
+    pub memory: Rc<MemoryBudget>,
+}
+
 /// The block frontend, shared by all of its connections and sessions.
 pub struct BlockFrontend<T> {
     /// Dispatches requests to storage nodes.
@@ -24,6 +33,8 @@
     pub phases: Rc<Lifecycle>,
     /// Budget of file descriptors.
     pub budget: Rc<DescriptorBudget>,
+    /// Budget of memory held for initiators.
+    pub memory: Rc<MemoryBudget>,
     /// Metrics of the process.
     pub counters: Rc<Counters>,
     /// Identifies this run of the process in idempotency keys, so that keys of different runs never collide.
@@ -40,18 +51,20 @@
         transport: Rc<T>,
         target: Target,
         phases: Rc<Lifecycle>,
-        budget: Rc<DescriptorBudget>,
+        resources: BlockResources,
         counters: Rc<Counters>,
         seed: u64,
     ) -> Rc<BlockFrontend<T>> {
         let run_id = format!("{seed:016x}");
         let (ids, sessions) = (Cell::new(seed), SessionRegistry::default());
+        let BlockResources { descriptors: budget, memory } = resources;
         Rc::new(BlockFrontend {
             dispatcher,
             transport,
             target,
             phases,
             budget,
+            memory,
             counters,
             run_id,
             ids,
--- a/tests/peers/crowd.rs
+++ b/tests/peers/crowd.rs
@@ -48,6 +48,12 @@
     Pipelines,
     /// Sends unsound requests at full speed, each with a new name.
     Unsound,
+    /// Sends sound requests at full speed, each with a new name.
+    Sound,
+    /// Calls the operators' port at full speed, a connection for each call.
+    Operates,
+    /// Sends bytes to the block frontend that are no PDU, at full speed.
+    SendsNoise,
     /// Sends bodies on many streams, as much as the windows allow, and then nothing (HTTP/2).
     FillsWindows,
     /// Opens its windows wide, asks for many answers and reads none (HTTP/2).
@@ -167,15 +173,57 @@
             }
             sleep(STAY).await;
         }
-        Habit::Unsound => loop {
-            stream.write_all(fetch().replace("network", "no such plan").as_bytes()).await?;
-            let mut answer = [0; 1024];
-            if stream.read(&mut answer).await? == 0 {
-                return Ok(());
+        Habit::Sound | Habit::Unsound | Habit::Operates | Habit::SendsNoise => {
+            flood(http, stream, habit).await?;
+        }
+        Habit::FillsWindows | Habit::ReadsNoStream | Habit::EndlessFields | Habit::ResetsStreams => {
+            act_over_http2(stream, habit).await?;
+        }
+    }
+    Ok(())
+}
+
+/// The preface of a client whose windows take all that a head may send.
+fn http2_preface() -> Vec<u8> {
+    const INITIAL_WINDOW_SIZE: u16 = 4;
+    const MAX_WINDOW: u32 = i32::MAX as u32;
+    const DEFAULT_WINDOW: u32 = 65_535;
+    let settings = frames::settings(&[(INITIAL_WINDOW_SIZE, MAX_WINDOW)]);
+    [PREFACE, &settings, &frames::update(0, MAX_WINDOW - DEFAULT_WINDOW)].concat()
+}
+
+/// The fields of an upload on a stream, whose body follows.
+fn http2_upload(stream: u32) -> Vec<u8> {
+    let mut pairs = frames::request("PUT", "episode-save");
+    pairs.push(("content-length".into(), LONG_BODY.to_string()));
+    frame(kind::HEADERS, flag::END_HEADERS, stream, &frames::encode(&pairs))
+}
+
+/// Sends at full speed until the connection ends.
+async fn flood(address: SocketAddr, mut stream: TcpStream, habit: Habit) -> std::io::Result<()> {
+    loop {
+        match habit {
+            Habit::Operates => {
+                stream.write_all(b"GET /ops/stats HTTP/1.1\r\nHost: head\r\n\r\n").await?;
+                stream.read_to_end(&mut Vec::new()).await?;
+                stream = TcpStream::connect(address).await?;
             }
-        },
+            Habit::SendsNoise => stream.write_all(&[0x43; 480]).await?,
+            habit => {
+                let plan = if habit == Habit::Unsound { "no such plan" } else { "network" };
+                stream.write_all(fetch().replace("network", plan).as_bytes()).await?;
+                if stream.read(&mut [0; 1024]).await? == 0 {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+async fn act_over_http2(mut stream: TcpStream, habit: Habit) -> std::io::Result<()> {
+    stream.write_all(&http2_preface()).await?;
+    match habit {
         Habit::FillsWindows => {
-            stream.write_all(&http2_preface()).await?;
             for id in (1..64).step_by(2) {
                 stream.write_all(&http2_upload(id)).await?;
                 for _ in 0..4 {
@@ -185,20 +233,17 @@
             sleep(STAY).await;
         }
         Habit::ReadsNoStream => {
-            stream.write_all(&http2_preface()).await?;
             for id in (1..200).step_by(2) {
                 stream.write_all(&frames::read_of(id, "medium")).await?;
             }
             sleep(STAY).await;
         }
         Habit::EndlessFields => {
-            stream.write_all(&http2_preface()).await?;
             let block = vec![b'v'; 16_000];
             stream.write_all(&frame(kind::HEADERS, 0, 1, &block)).await?;
             sleep(STAY).await;
         }
         Habit::ResetsStreams => {
-            stream.write_all(&http2_preface()).await?;
             for id in (1..100_000).step_by(2) {
                 stream.write_all(&frames::read(id)).await?;
                 stream
@@ -206,26 +251,11 @@
                     .await?;
             }
         }
+        _ => {}
     }
     Ok(())
 }
 
-/// The preface of a client whose windows take all that a head may send.
-fn http2_preface() -> Vec<u8> {
-    const INITIAL_WINDOW_SIZE: u16 = 4;
-    const MAX_WINDOW: u32 = i32::MAX as u32;
-    const DEFAULT_WINDOW: u32 = 65_535;
-    let settings = frames::settings(&[(INITIAL_WINDOW_SIZE, MAX_WINDOW)]);
-    [PREFACE, &settings, &frames::update(0, MAX_WINDOW - DEFAULT_WINDOW)].concat()
-}
-
-/// The fields of an upload on a stream, whose body follows.
-fn http2_upload(stream: u32) -> Vec<u8> {
-    let mut pairs = frames::request("PUT", "episode-save");
-    pairs.push(("content-length".into(), LONG_BODY.to_string()));
-    frame(kind::HEADERS, flag::END_HEADERS, stream, &frames::encode(&pairs))
-}
-
 async fn read_slowly(stream: &mut TcpStream) -> std::io::Result<()> {
     let mut piece = [0; PIECE_BYTES];
     while stream.read(&mut piece).await? > 0 {
--- a/tests/slow_crowds.rs
+++ b/tests/slow_crowds.rs
@@ -46,12 +46,17 @@
     let operators_file = std::env::temp_dir().join(format!("flaxgap-crowds-{}", std::process::id()));
     std::fs::write(&operators_file, "[http2]\nlisten = \"127.0.0.1:0\"\n").expect("written");
     let mut head =
-        Head::start_text(&text, None, &[("FLAXGAP_OPS", operators_file.to_str().expect("a path"))]);
+        Head::start_text(&text, Some(BLOCK), &[("FLAXGAP_OPS", operators_file.to_str().expect("a path"))]);
     let http2 = head.address("http2: listening on ");
     let memory = PeakMemory::watch(head.pid());
     let usual_clients = UsualClients::start(head.http, USUAL_CLIENTS);
-    let is_http2 = habits.iter().all(|habit| Habit::HTTP2.contains(habit));
-    let crowd = Crowd::start(if is_http2 { http2 } else { head.http }, habits, count);
+    let address = match habits[0] {
+        habit if Habit::HTTP2.contains(&habit) => http2,
+        Habit::Operates => head.ops,
+        Habit::SendsNoise => head.block.expect("it is on"),
+        _ => head.http,
+    };
+    let crowd = Crowd::start(address, habits, count);
     thread::sleep(TIME);
     drop(crowd);
     let outcomes = usual_clients.stop();
@@ -114,3 +119,18 @@
     }
     play(&Habit::HTTP2, CROWD, MEMORY_MB);
 }
+
+/// Guards against one client that keeps a head so busy that others wait, or grows its memory, under ever new names.
+#[test]
+fn one_client_at_full_speed_loses_no_other_request_on_any_frontend() {
+    for habit in [
+        Habit::Sound,
+        Habit::Unsound,
+        Habit::Pipelines,
+        Habit::Operates,
+        Habit::SendsNoise,
+        Habit::ResetsStreams,
+    ] {
+        play(&[habit], 1, MEMORY_MB);
+    }
+}
