One place asks a socket's state; interrupted calls on sockets are made again

Cause: three copies of the same peek, each of which took EINTR for a client or node that has gone; reads and writes of clients' and nodes' connections took it for the end of the connection. Change: resources::socket has the peek; peeks, reads, writes and the reads at a connection's close are repeated when interrupted.

--- a/src/frontend/block/connection.rs
+++ b/src/frontend/block/connection.rs
@@ -5,9 +5,8 @@
 use super::pdu::{Codec, HEADER_LENGTH, MAX_DATA_SEGMENT, NO_TAG, Pdu, response};
 use crate::frontend::closing::SharedStream;
 use crate::resources::descriptors::{ClientSlot, TRANSIT_GRACE};
+use crate::resources::socket;
 use bytes::BytesMut;
-use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -119,14 +118,7 @@
     /// Whether bytes of a PDU have arrived that may be complete in a moment.
     pub fn is_receiving(&self) -> bool {
         let is_partly_received = !self.incoming.is_empty() && self.last_received.elapsed() < TRANSIT_GRACE;
-        is_partly_received || !self.has_nothing_unread()
-    }
-
-    /// Whether the socket is open with no bytes to read. Asks the system, since the runtime may not have been notified
-    /// yet.
-    fn has_nothing_unread(&self) -> bool {
-        let peeked = socket2::SockRef::from(&*self.stream.0).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        is_partly_received || !socket::has_nothing_unread(&*self.stream.0)
     }
 
     /// Initializes CmdSN and StatSN from the first login request. Login requests are immediate, so the first command
--- a/src/frontend/closing.rs
+++ b/src/frontend/closing.rs
@@ -6,6 +6,7 @@
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::ClientSlot;
 use crate::resources::memory::MAX_BODY_BYTES;
+use crate::resources::socket;
 use std::future::Future;
 use std::io;
 use std::net::Shutdown;
@@ -67,16 +68,16 @@
 /// Closes a connection. Its `slot` may be reclaimed meanwhile, which shortens the wait for the client.
 pub async fn close(stream: &TcpStream, end: ServiceEnd, slot: &ClientSlot, counters: &Counters) {
     let reason = end.reason;
-    let socket = socket2::SockRef::from(stream);
+    let client = socket2::SockRef::from(stream);
     if reason == CloseReason::AnswerBroken {
         counters.broken_off.add();
         // With SO_LINGER of zero, closing the socket sends a reset (RFC 9293, section 3.10.4).
-        if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
+        if let Err(error) = client.set_linger(Some(Duration::ZERO)) {
             log::debug!("http: SO_LINGER not set: {error}");
         }
         return;
     }
-    let is_reset_by_client = socket.shutdown(Shutdown::Write).is_err();
+    let is_reset_by_client = client.shutdown(Shutdown::Write).is_err();
     if is_reset_by_client || reason == CloseReason::NothingOwed {
         return;
     }
@@ -115,7 +116,7 @@
             ready = stream.readable() => match ready.and_then(|()| stream.try_read(&mut [0; READ_BYTES])) {
                 Ok(0) => break,
                 Ok(count) => discarded_bytes += count,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(error) if socket::is_transient(&error) => continue,
                 Err(_) => break,
             }
         }
@@ -138,7 +139,7 @@
                     buf.advance(count);
                     return Poll::Ready(Ok(()));
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if socket::is_transient(&error) => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -150,7 +151,7 @@
         loop {
             ready!(self.0.poll_write_ready(cx))?;
             match self.0.try_write(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if socket::is_transient(&error) => {}
                 written => return Poll::Ready(written),
             }
         }
--- a/src/frontend/intake/connection_state.rs
+++ b/src/frontend/intake/connection_state.rs
@@ -4,10 +4,10 @@
 use crate::core::Client;
 use crate::metrics::counters::Counters;
 use crate::resources::descriptors::{ClientSlot, TRANSIT_GRACE};
+use crate::resources::socket;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -244,11 +244,7 @@
     /// Whether the connection is open with no bytes to read. Asks the system, since the runtime may not have been
     /// notified yet.
     pub fn has_nothing_unread(&self) -> bool {
-        self.peek().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    fn peek(&self) -> io::Result<usize> {
-        socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()])
+        socket::has_nothing_unread(&*self.stream)
     }
 
     /// Returns the time that the body of a request whose head has just arrived may take beyond its transfer at the
@@ -380,7 +376,7 @@
 
 impl Client for ConnectionState {
     fn is_connected(&self) -> bool {
-        match self.peek() {
+        match socket::peek(&*self.stream) {
             // The client may have closed its side after the unread bytes.
             Ok(1..) => !is_half_closed(&self.stream),
             Ok(0) => false,
--- a/src/frontend/intake/reader.rs
+++ b/src/frontend/intake/reader.rs
@@ -5,6 +5,7 @@
 use super::connection_state::ConnectionState;
 use super::framing::{self, MAX_HEAD_BYTES, Parsed, Part};
 use crate::resources::memory::{MemoryBudget, MemoryReservation};
+use crate::resources::socket;
 use bytes::{Buf, BytesMut};
 use std::io;
 use std::pin::Pin;
@@ -120,7 +121,7 @@
         loop {
             ready!(self.state.stream.poll_read_ready(cx))?;
             match self.state.stream.try_read(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if socket::is_transient(&error) => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(count) => {
                     if count > 0 {
@@ -297,7 +298,7 @@
             self.state.writable_changed(ready.is_ready());
             ready!(ready)?;
             match send(stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if socket::is_transient(&error) => {}
                 sent => return Poll::Ready(sent),
             }
         }
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -3,10 +3,10 @@
 use super::addresses::{AddressTable, NodeAddress};
 use crate::core::{PermitExpired, SendPermit};
 use crate::metrics::counters::Counters;
+use crate::resources::socket;
 use crate::scheduler::NodeId;
 use bytes::Bytes;
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -120,7 +120,7 @@
 
     /// Checks that the connection is open and has no unread bytes.
     fn check_connection(&self, stage: Stage, stream: &TcpStream) -> Result<(), NotSentReason> {
-        if has_nothing_unread(stream) {
+        if socket::has_nothing_unread(stream) {
             return Ok(());
         }
         self.counters.held_back_connection.add();
@@ -131,10 +131,3 @@
         Err(NotSentReason::ConnectionUnusable)
     }
 }
-
-/// Whether a socket is open and has no bytes to read. Peeks at the socket, since the runtime may not have been notified
-/// yet.
-fn has_nothing_unread(stream: &TcpStream) -> bool {
-    let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
-    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-}
--- a/src/node/stream.rs
+++ b/src/node/stream.rs
@@ -19,10 +19,15 @@
     /// Writes to the socket, unless the send guard refuses the first byte of the request.
     fn poll_guarded_write(
         &mut self,
-        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+        mut write: impl FnMut(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         self.progress.check_first_byte(&self.stream)?;
-        let written = write(Pin::new(&mut self.stream));
+        let written = loop {
+            match write(Pin::new(&mut self.stream)) {
+                Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::Interrupted => {}
+                written => break written,
+            }
+        };
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.progress.bytes_written();
         }
@@ -37,7 +42,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = loop {
+            match Pin::new(&mut self.stream).poll_read(cx, buf) {
+                Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::Interrupted => {}
+                read => break read,
+            }
+        };
         let Poll::Ready(result) = &read else { return Poll::Pending };
         let count = buf.filled().len() - filled_before;
         if result.is_err() || count == 0 {
--- a/src/resources/mod.rs
+++ b/src/resources/mod.rs
@@ -1,5 +1,7 @@
-//! Budgets of limited resources, file descriptors and memory, and the admission of requests by what is left of them.
+//! Budgets of limited resources, file descriptors and memory, the admission of requests by what is left of
+//! them, and the state of a socket.
 
 pub mod admission;
 pub mod descriptors;
 pub mod memory;
+pub mod socket;
