--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -198,9 +198,9 @@
         Rc::new(FrontendContext {
             dispatcher: self.dispatcher.clone(),
             transport: self.nodes.clone(),
-            notes: wire_settings,
-            phases: self.lifecycle.clone(),
-            budget: self.descriptors.clone(),
+            wire_settings,
+            lifecycle: self.lifecycle.clone(),
+            descriptors: self.descriptors.clone(),
             memory: self.memory.clone(),
             admission: Admission::new(self.memory.clone(), self.descriptors.clone(), self.counters.clone()),
             counters: self.counters.clone(),
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -66,8 +66,8 @@
     fn announces_close(&self) -> bool {
         let context = &self.frontend.context;
         let close_wanted = self.state.is_close_requested()
-            || context.phases.should_reconnect()
-            || context.budget.has_too_many_idle_clients();
+            || context.lifecycle.should_reconnect()
+            || context.descriptors.has_too_many_idle_clients();
         close_wanted && self.state.may_announce_close()
     }
 }
@@ -107,10 +107,10 @@
 impl<T: Transport + 'static> HttpFrontend<T> {
     /// Accepts clients for as long as it is polled.
     pub async fn listen(self: Rc<Self>, listener: &TcpListener) {
-        self.context.budget.put_in_service(ConnectionKind::Http);
-        let FrontendContext { budget, phases, .. } = &*self.context;
+        self.context.descriptors.put_in_service(ConnectionKind::Http);
+        let FrontendContext { descriptors, lifecycle, .. } = &*self.context;
         loop {
-            let accepted = accept(listener, ConnectionKind::Http, budget, phases).await;
+            let accepted = accept(listener, ConnectionKind::Http, descriptors, lifecycle).await;
             self.admit(accepted.stream, accepted.slot);
         }
     }
@@ -124,7 +124,7 @@
         let stream = Rc::new(stream);
         let slot = Rc::new(slot.accepted());
         let state = ConnectionState::new(stream.clone(), slot.clone(), self.context.counters.clone());
-        let connection_guard = self.context.phases.track_connection();
+        let connection_guard = self.context.lifecycle.track_connection();
         let service = ConnectionService { frontend: self.clone(), slot, state };
         tokio::task::spawn_local(async move {
             let _connection_guard = connection_guard;
@@ -217,7 +217,7 @@
     /// Waits until the program shuts down and the connection has been open for [`FIRST_REQUEST_GRACE`], since its first
     /// request may be in transit.
     async fn shutdown(&self, opened_at: Instant) {
-        let mut closing = self.frontend.context.phases.subscribe_closing();
+        let mut closing = self.frontend.context.lifecycle.subscribe_closing();
         let _ = closing.wait_for(|closing| *closing).await;
         sleep_until(opened_at + FIRST_REQUEST_GRACE).await;
     }
--- a/src/frontend/http2.rs
+++ b/src/frontend/http2.rs
@@ -42,12 +42,12 @@
 
     /// Accepts clients for as long as it is polled.
     pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
-        self.context.budget.put_in_service(ConnectionKind::Http2);
+        self.context.descriptors.put_in_service(ConnectionKind::Http2);
         loop {
             let Ok(permit) = self.connection_permits.clone().acquire_owned().await else { return };
-            let FrontendContext { budget, phases, .. } = &*self.context;
-            let accepted = accept(&listener, ConnectionKind::Http2, budget, phases).await;
-            let connection_guard = phases.track_connection();
+            let FrontendContext { descriptors, lifecycle, .. } = &*self.context;
+            let accepted = accept(&listener, ConnectionKind::Http2, descriptors, lifecycle).await;
+            let connection_guard = lifecycle.track_connection();
             let frontend = self.clone();
             tokio::task::spawn_local(async move {
                 let _held = (permit, connection_guard);
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -131,7 +131,7 @@
         opened_at,
         ended_sender,
         ended,
-        shutdown: frontend.context.phases.subscribe_closing(),
+        shutdown: frontend.context.lifecycle.subscribe_closing(),
         shutdown_begun: false,
     };
     let cause = open.run().await;
@@ -324,7 +324,8 @@
             self.slot.mark_idle();
         }
         let context = &self.frontend.context;
-        if context.phases.should_reconnect() || is_idle && context.budget.has_too_many_idle_clients() {
+        if context.lifecycle.should_reconnect() || is_idle && context.descriptors.has_too_many_idle_clients()
+        {
             self.graceful_shutdown.begin(self.now(), Cause::Drain)
         } else {
             Action::None
--- a/src/frontend/request.rs
+++ b/src/frontend/request.rs
@@ -43,11 +43,11 @@
     /// Transport to the nodes.
     pub transport: Rc<T>,
     /// Names of classes and plans.
-    pub notes: WireSettings,
+    pub wire_settings: WireSettings,
     /// Phase of the process, and its open connections.
-    pub phases: Rc<Lifecycle>,
+    pub lifecycle: Rc<Lifecycle>,
     /// Limits the file descriptors of connections.
-    pub budget: Rc<DescriptorBudget>,
+    pub descriptors: Rc<DescriptorBudget>,
     /// Limits the memory held for peers.
     pub memory: Rc<MemoryBudget>,
     /// Rejects requests for which resources are short.
@@ -80,9 +80,12 @@
         }
         let fields = match framing_ambiguous {
             true => Err(BadRequest::Length),
-            false => {
-                RequestFields::read(request.method(), request.uri().path(), request.headers(), &self.notes)
-            }
+            false => RequestFields::read(
+                request.method(),
+                request.uri().path(),
+                request.headers(),
+                &self.wire_settings,
+            ),
         };
         let fields = match fields {
             Ok(fields) => fields,
@@ -112,7 +115,7 @@
     fn answer_status_path(&self, path: &str) -> Option<Response<ResponseBody>> {
         match path {
             "/-/ready" => {
-                let phase = self.phases.phase();
+                let phase = self.lifecycle.phase();
                 let is_ready = phase == Phase::Ready;
                 let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 Some(plain(status, format!("{phase:?}\n")))
--- a/tests/peers/stand.rs
+++ b/tests/peers/stand.rs
@@ -47,9 +47,9 @@
             context: Rc::new(FrontendContext {
                 dispatcher: dispatcher.clone(),
                 transport: nodes.clone(),
-                notes,
-                phases: phases.clone(),
-                budget: budget.clone(),
+                wire_settings: notes,
+                lifecycle: phases.clone(),
+                descriptors: budget.clone(),
                 admission: Admission::new(memory.clone(), budget.clone(), counters.clone()),
                 memory,
                 counters: counters.clone(),
--- a/tests/races_http2.rs
+++ b/tests/races_http2.rs
@@ -84,10 +84,10 @@
         let desk = Rc::new(FrontendContext {
             dispatcher: dispatcher.clone(),
             transport: transport.clone(),
-            notes,
-            phases: Rc::new(lifecycle::Lifecycle::default()),
+            wire_settings: notes,
+            lifecycle: Rc::new(lifecycle::Lifecycle::default()),
             admission: Admission::new(memory.clone(), budget.clone(), counters.clone()),
-            budget,
+            descriptors: budget,
             memory,
             counters: counters.clone(),
         });
