hyper is dropped between two requests only where memory is scarce

Change: it is kept between requests while less than a quarter of the memory for peers is in use. A head without memory found while hyper reads gets 503 as one found before.

--- a/src/frontend/intake/exchange.rs
+++ b/src/frontend/intake/exchange.rs
@@ -1,5 +1,5 @@
-//! Runs hyper on a client's connection while a request is in progress, and without it in between: hyper's buffers are
-//! allocated by need, and a connection without a request holds none of them.
+//! Runs hyper on a client's connection from its first request on. Where memory is scarce hyper is dropped after each
+//! answer, so that only a connection with a request in progress holds its buffers.
 
 use super::connection_state::ConnectionState;
 use super::framing::{MAX_HEAD_BYTES, MAX_HEAD_FIELDS};
@@ -59,7 +59,7 @@
 pub enum ExchangeError {
     /// An error of the HTTP library.
     #[error(transparent)]
-    Http(#[from] hyper::Error),
+    Http(hyper::Error),
     /// There was no memory for a long head.
     #[error("no memory for a request head")]
     NoMemory,
@@ -68,6 +68,14 @@
     Io(io::Error),
 }
 
+impl From<hyper::Error> for ExchangeError {
+    fn from(error: hyper::Error) -> ExchangeError {
+        let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        let is_memory = source.is_some_and(|source| source.kind() == io::ErrorKind::OutOfMemory);
+        if is_memory { ExchangeError::NoMemory } else { ExchangeError::Http(error) }
+    }
+}
+
 impl From<io::Error> for ExchangeError {
     fn from(error: io::Error) -> ExchangeError {
         if error.kind() == io::ErrorKind::OutOfMemory {
@@ -80,12 +88,13 @@
 
 type LibraryConnection<S> = http1::Connection<TokioIo<SharedReader>, S>;
 
-/// The requests of a connection, each carried out by a connection of the HTTP library of its own.
+/// The requests of a connection, and the connection of the HTTP library that carries them out.
 pub struct Exchanges<S: HttpService<Incoming>> {
     state: Rc<ConnectionState>,
     reader: SharedReader,
     service: S,
-    /// The request in progress, or whose answer is being sent.
+    memory: Rc<MemoryBudget>,
+    /// The library's connection; `None` before the first request, and between two requests where memory is scarce.
     current: Option<Pin<Box<LibraryConnection<S>>>>,
 }
 
@@ -98,8 +107,9 @@
 {
     /// Creates the exchanges of a new connection, whose requests `service` answers.
     pub fn new(state: Rc<ConnectionState>, memory: Rc<MemoryBudget>, service: S) -> Exchanges<S> {
-        let reader = RequestReader::new(state.clone(), memory);
-        Exchanges { state, reader: SharedReader(Rc::new(RefCell::new(reader))), service, current: None }
+        let reader = RequestReader::new(state.clone(), memory.clone());
+        let reader = SharedReader(Rc::new(RefCell::new(reader)));
+        Exchanges { state, reader, service, memory, current: None }
     }
 
     /// Reads requests and sends answers until the connection has to end.
@@ -113,7 +123,7 @@
                 if let Poll::Ready(result) = current.as_mut().poll(cx) {
                     return Poll::Ready(result.map_err(ExchangeError::from));
                 }
-                if !self.has_exchange_ended() {
+                if !self.memory.is_scarce() || !self.has_exchange_ended() {
                     return Poll::Pending;
                 }
                 self.current = None;
--- a/src/resources/memory.rs
+++ b/src/resources/memory.rs
@@ -27,6 +27,8 @@
 /// Memory of a connection of the HTTP/2 frontend, in bytes: the buffers and field tables of the HTTP library, and its
 /// state of the streams that were open at the same time.
 const HTTP2_CONNECTION_BYTES: usize = 96 * 1024;
+/// Divisor of the limit that gives the part in use from which on memory is scarce.
+const SCARCE_DIVISOR: usize = 4;
 /// Divisor of the limit that gives the part that connections of the HTTP/2 frontend may hold together.
 const HTTP2_DIVISOR: usize = 4;
 /// Divisor of the limit that gives the part that bodies leave free for requests and connections to nodes.
@@ -190,6 +192,11 @@
         self.in_use.total() as f64 / self.limit_bytes().max(1) as f64
     }
 
+    /// Whether so much is in use that connections without a request should hold as little as they can.
+    pub fn is_scarce(&self) -> bool {
+        self.in_use.total() > self.limit_bytes() / SCARCE_DIVISOR
+    }
+
     /// What is reserved, by its purpose, and the limit.
     pub fn usage(&self) -> ReservedMemory {
         ReservedMemory {
