Several connections are asked to close at a time while a client waits for a slot

What was seen: beside a soak and a build, 9 of 34 usual requests beside a mixed crowd of 900 at 192 MB had no answer in one run of the suite. Log: no slot, 505 of 592 slots for HTTP/1.1, 150 of them idle or closing at their own pace, one asked to close. Cause: a frontend that waits for a slot asked one connection to close, and the next only once that one had; each takes up to 20 ms, and hundreds were waiting to be accepted. Change: up to eight at a time while a frontend waits. The test's operators' file is one for each head: another test rewrote it as a head read it, and that head had no HTTP/2 (the other failure of that run).

--- a/src/resources/descriptors.rs
+++ b/src/resources/descriptors.rs
@@ -41,6 +41,8 @@
 /// requests. All client connections together hold at most twice as many descriptors: without this maximum, idle ones
 /// would leave none for clients that open a connection for each request.
 const IDLE_CLIENTS_DIVISOR: usize = 6;
+/// Number of connections that are requested to close at the same time while a client waits.
+const MAX_CLOSING: usize = 8;
 /// Interval at which a waiting client retries to get a slot.
 const SLOT_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a connection without a complete request is kept open after its last byte or, if there is none, after it was
@@ -173,6 +175,7 @@
             if let Some(slot) = self.slot(kind) {
                 return AcceptSlot::new(slot);
             }
+            self.close_several_for(kind);
             self.record_shortage(kind);
             _ = timeout(SLOT_RETRY_INTERVAL, self.freed.notified()).await;
         }
@@ -208,6 +211,11 @@
         self.close_next(|kind| kind == ConnectionKind::Node)
     }
 
+    /// Requests several connections to close, since each may take a while to do so and more than one client may wait.
+    fn close_several_for(&self, kind: ConnectionKind) {
+        while self.usage.get().in_state(SlotState::Closing) < MAX_CLOSING && self.close_for(kind) {}
+    }
+
     /// Requests a connection to close, so that one of this kind can take its slot. Returns whether there was one.
     fn close_for(&self, kind: ConnectionKind) -> bool {
         let usage = self.usage.get();
--- a/tests/slow_crowds.rs
+++ b/tests/slow_crowds.rs
@@ -9,6 +9,8 @@
 use peers::peak_memory::PeakMemory;
 use peers::usual_clients::UsualClients;
 use peers::*;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -43,11 +45,11 @@
     let text = config(&discovery, DESCRIPTORS, "null")
         .replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}"))
         .replace("\"base_rate\":400.0,\"name\":\"network\",\"reserve\":400.0", UNLIMITED_PLAN);
-    let operators_file = std::env::temp_dir().join(format!("flaxgap-crowds-{}", std::process::id()));
-    std::fs::write(&operators_file, "[http2]\nlisten = \"127.0.0.1:0\"\n").expect("written");
+    let operators_file = write_operators_file();
     let mut head =
         Head::start_text(&text, Some(BLOCK), &[("FLAXGAP_OPS", operators_file.to_str().expect("a path"))]);
     let http2 = head.address("http2: listening on ");
+    std::fs::remove_file(operators_file).expect("removed");
     let memory = PeakMemory::watch(head.pid());
     let usual_clients = UsualClients::start(head.http, USUAL_CLIENTS);
     let address = match habits[0] {
@@ -72,6 +74,15 @@
     assert!(head.ended(), "{habits:?} x{count}");
 }
 
+/// Writes an operators' file for one head, since tests run at the same time.
+fn write_operators_file() -> PathBuf {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("flaxgap-crowds-{}-{number}", std::process::id()));
+    std::fs::write(&path, "[http2]\nlisten = \"127.0.0.1:0\"\n").expect("written");
+    path
+}
+
 /// The plan of the crowd's requests, so that its limit does not keep them from the nodes.
 const UNLIMITED_PLAN: &str = "\"base_rate\":40000.0,\"name\":\"network\",\"reserve\":40000.0";
 
