Signals say how long ago they may have been sent; surplus answers of nodes are counted

Cause: logs could not tell when SIGTERM was sent, what schedule followed, how many requests were open at the end, or whether a node had answered twice. Change: signals are watched in each turn of the event loop, before anything else, and the log has the longest time since they were sent, by the loop's latest turns; the shutdown logs its moments and what is open at its end. Counter surplus_responses. The shutdown itself is as before.

--- a/examples/fronts.rs
+++ b/examples/fronts.rs
@@ -7,7 +7,7 @@
 use clap::Parser;
 use flaxgap::config::Config;
 use flaxgap::config::operators_file::OperatorsFile;
-use flaxgap::daemon::{Daemon, Signals};
+use flaxgap::daemon::{self, Daemon};
 use h2::client::SendRequest;
 use hdrhistogram::Histogram;
 use std::error::Error;
@@ -84,13 +84,11 @@
 /// The head, as `flaxgap` itself starts it.
 fn head() -> Result<(), Failure> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = tokio::task::LocalSet::new();
-    let signals = local.block_on(&runtime, async { Signals::install() })?;
-    let path = std::env::var("LB_CONFIG")?;
-    let ops = OperatorsFile::load(&std::env::var("FLAXGAP_OPS")?)?;
-    let daemon = Daemon::new(path.clone(), Config::load(&path)?, None, ops, None);
-    Ok(local.block_on(&runtime, daemon.run(signals))?)
+    daemon::run_event_loop(|| {
+        let path = std::env::var("LB_CONFIG")?;
+        let ops = OperatorsFile::load(&std::env::var("FLAXGAP_OPS")?)?;
+        Ok(Daemon::new(path.clone(), Config::load(&path)?, None, ops, None))
+    })
 }
 
 /// The head's process, ended when dropped.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,7 +28,7 @@
 pub use answer::Answer;
 pub use attempt::{AttemptResult, Transport, WriteProgress};
 pub use call::{Call, Client};
-pub use clock::{Clock, seconds};
+pub use clock::{Clock, MAX_HOLD_UP, seconds};
 pub use dispatcher::Dispatcher;
 pub use node_request::{NodeRequest, Operation};
 pub use observer::Observer;
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -4,6 +4,7 @@
 use super::build::Parts;
 use super::listeners::accept_queued;
 use super::run::Server;
+use super::signals::NoticedSignal;
 use crate::lifecycle::Phase;
 use crate::resources::descriptors::ConnectionKind;
 use std::time::Duration;
@@ -46,13 +47,28 @@
             end,
         }
     }
+
+    /// Logs the schedule as it follows from the signal.
+    fn log(&self, signal: NoticedSignal) {
+        let now = Instant::now();
+        log::info!(
+            "daemon: shutdown scheduled, noticed={:?} ago, sent_within={:?}, connections close in {:?}, last answers in {:?}, \
+             end in {:?}",
+            now.saturating_duration_since(signal.noticed_at),
+            now.saturating_duration_since(signal.earliest_sent_at),
+            self.close_connections_at.saturating_duration_since(now),
+            self.last_answer_by.saturating_duration_since(now),
+            self.end.saturating_duration_since(now)
+        );
+    }
 }
 
 /// Shuts the process down: accepts connections until they have to close, completes the accepted requests, and closes the
 /// listening sockets. Returns when all client connections are closed, or at the end of the schedule.
-pub(super) async fn drain(parts: &Parts, server: Server, longest_deadline_s: f64) {
+pub(super) async fn drain(parts: &Parts, server: Server, signal: NoticedSignal, longest_deadline_s: f64) {
     parts.lifecycle.enter(Phase::Draining);
     let schedule = DrainSchedule::starting_now(longest_deadline_s);
+    schedule.log(signal);
     parts.dispatcher.set_shutdown_deadline(schedule.last_answer_by);
     serve_until_connections_close(parts, &server, &schedule).await;
     parts.lifecycle.close_idle_connections();
@@ -60,7 +76,11 @@
     drop(server);
     parts.handover.close_sockets();
     if timeout_at(schedule.end, parts.lifecycle.connections_closed()).await.is_err() {
-        log::warn!("daemon: connections still open at the end");
+        log::warn!(
+            "daemon: connections still open at the end, connections={} requests={}",
+            parts.lifecycle.open_connections(),
+            parts.counters.in_flight()
+        );
     }
     parts.lifecycle.enter(Phase::Stopped);
 }
@@ -73,8 +93,7 @@
         parts.lifecycle.connections_closed().await;
     };
     tokio::select! {
-        // Unreachable: `listen` never returns.
-        () = server.listen() => {}
+        never = server.listen() => match never {},
         () = sleep_until(schedule.close_connections_at) => {}
         () = all_closed => {}
         // New connections reach the newer process through the shared accept queue.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,6 @@
 //! The head's process, from startup to exit.
 //!
-//! [`Daemon::run`] checks the settings, builds the shared components, takes over the sockets of an older process, opens
+//! [`run_event_loop`] runs a [`Daemon`], which checks the settings, builds the shared components, takes over the sockets of an older process, opens
 //! the listeners, starts the frontends and background tasks, serves until a signal requests the shutdown, and drains.
 //! The order matters for upgrades: the older process accepts connections until this one has an endpoint list to serve
 //! with (see [`crate::handover`]).
@@ -12,10 +12,10 @@
 mod listeners;
 mod reload;
 mod run;
+mod signal_age;
 mod signals;
 
 pub use error::{BackgroundTask, DaemonError};
-pub use signals::Signals;
 
 use crate::config::Config;
 use crate::config::operators_file::OperatorsFile;
@@ -24,6 +24,7 @@
 use crate::frontend::request::FrontendContext;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::counters::Counters;
+use crate::metrics::event_loop::{MeasuredTurns, TurnLog};
 use crate::node::NodeTransport;
 use build::{BuildInput, OptionalSettings, Parts};
 use drain::drain;
@@ -32,12 +33,34 @@
 use listeners::{AddressUse, Listeners};
 use reload::Reloader;
 use run::{BackgroundTasks, Server, serve_until_shutdown, start_endpoint_list};
+use signals::{NoticedSignals, Signals};
+use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
+/// Runs a daemon to its end on an event loop in this thread. `configure` creates the daemon once the handlers of signals
+/// are installed.
+///
+/// # Errors
+///
+/// The error of `configure`, or that of the daemon or of the event loop.
+pub fn run_event_loop<E>(configure: impl FnOnce() -> Result<Daemon, E>) -> Result<(), E>
+where
+    E: From<io::Error> + From<DaemonError>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    let turns = TurnLog::start();
+    let (signals, noticed) = local.block_on(&runtime, async { Signals::install(turns.clone()) })?;
+    let daemon = configure()?;
+    let counters = daemon.counters.clone();
+    let program = signals.watch_beside(local.run_until(daemon.run(noticed)));
+    Ok(runtime.block_on(MeasuredTurns::new(program, turns, counters))?)
+}
+
 /// A head's process that has been configured but not started.
 pub struct Daemon {
     config_path: String,
@@ -68,17 +91,12 @@
         Daemon { config_path, config, block_file, operators_file, state_folder, lifecycle, counters }
     }
 
-    /// The counters of this head.
-    pub fn counters(&self) -> Rc<Counters> {
-        self.counters.clone()
-    }
-
     /// Serves until SIGTERM or SIGINT, then drains and returns. Must run inside a [`tokio::task::LocalSet`].
     ///
     /// # Errors
     ///
     /// [`DaemonError`] if settings are invalid, an address can't be listened on, or a background task ended.
-    pub async fn run(self, mut signals: Signals) -> Result<(), DaemonError> {
+    async fn run(self, mut signals: NoticedSignals) -> Result<(), DaemonError> {
         let Daemon { config_path, config, block_file, operators_file, state_folder, lifecycle, counters } =
             self;
         let longest_deadline_s = longest_deadline_s(&config);
@@ -124,8 +142,8 @@
             parts: parts.clone(),
         };
         let server = Server { frontend, listener: listeners.http };
-        serve_until_shutdown(&server, &mut signals, &reloader, tasks, endpoint_list).await?;
-        drain(&parts, server, longest_deadline_s).await;
+        let signal = serve_until_shutdown(&server, &mut signals, &reloader, tasks, endpoint_list).await?;
+        drain(&parts, server, signal, longest_deadline_s).await;
         log::info!("counters: {}", parts.counters);
         Ok(())
     }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -4,10 +4,11 @@
 use super::endpoint_list::{EndpointListSource, follow_endpoint_list};
 use super::error::{BackgroundTask, DaemonError};
 use super::reload::Reloader;
-use super::signals::{SignalCommand, Signals};
+use super::signals::{NoticedSignal, NoticedSignals, SignalCommand};
 use crate::frontend::http::HttpFrontend;
 use crate::lifecycle::Phase;
 use crate::node::NodeTransport;
+use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, spawn_local};
@@ -21,9 +22,9 @@
 }
 
 impl Server {
-    /// Accepts client connections. Never returns.
-    pub(super) async fn listen(&self) {
-        self.frontend.clone().listen(&self.listener).await;
+    /// Accepts client connections.
+    pub(super) async fn listen(&self) -> Infallible {
+        self.frontend.clone().listen(&self.listener).await
     }
 }
 
@@ -75,31 +76,32 @@
     spawn_local(follow_endpoint_list(parts.directory.clone(), cached_list, source, serve))
 }
 
-/// Serves until SIGTERM or SIGINT, and reloads the configuration on SIGHUP.
+/// Serves until SIGTERM or SIGINT, which it returns, and reloads the configuration on SIGHUP.
 ///
 /// # Errors
 ///
 /// [`DaemonError::TaskEnded`] if a background task ended.
 pub(super) async fn serve_until_shutdown(
     server: &Server,
-    signals: &mut Signals,
+    signals: &mut NoticedSignals,
     reloader: &Reloader,
     tasks: BackgroundTasks,
     endpoint_list: JoinHandle<()>,
-) -> Result<(), DaemonError> {
+) -> Result<NoticedSignal, DaemonError> {
     tokio::select! {
-        // Unreachable: `listen` never returns.
-        () = server.listen() => Ok(()),
-        () = handle_signals(signals, reloader) => Ok(()),
+        biased;
+        shutdown = handle_signals(signals, reloader) => Ok(shutdown),
         task = tasks.first_end(endpoint_list) => Err(DaemonError::TaskEnded(task)),
+        never = server.listen() => match never {},
     }
 }
 
-/// Handles signals until one requests the shutdown.
-async fn handle_signals(signals: &mut Signals, reloader: &Reloader) {
+/// Handles signals until one requests the shutdown, and returns that one.
+async fn handle_signals(signals: &mut NoticedSignals, reloader: &Reloader) -> NoticedSignal {
     loop {
-        match signals.next().await {
-            SignalCommand::Shutdown => return,
+        let signal = signals.next().await;
+        match signal.command {
+            SignalCommand::Shutdown => return signal,
             SignalCommand::Reload => reloader.reload(),
             SignalCommand::LogCounters => log::info!("counters: {}", reloader.parts.counters),
         }
--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -1,7 +1,20 @@
 //! Unix signals that control the process.
+//!
+//! Signals are watched beside the whole program, at the beginning of each turn of the event loop, so that a signal is
+//! noticed in the first turn after it was received, whatever the program does.
 
 use super::DaemonError;
+use super::signal_age::earliest_sending;
+use crate::metrics::event_loop::TurnLog;
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Most signals that wait to be handled. The operating system merges signals of a kind that are not received yet.
+const MAX_PENDING_SIGNALS: usize = 16;
 
 /// The action that a signal requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,34 +27,81 @@
     LogCounters,
 }
 
+/// A signal that the process has noticed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NoticedSignal {
+    /// The action that it requests.
+    pub(super) command: SignalCommand,
+    /// When the process noticed it.
+    pub(super) noticed_at: Instant,
+    /// The earliest time at which it may have been sent.
+    pub(super) earliest_sent_at: Instant,
+}
+
 /// Handlers of the signals that control the process. They are installed first during startup, because a signal without a
 /// handler kills the process.
-pub struct Signals {
+pub(super) struct Signals {
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
     user_defined_1: Signal,
+    turns: Rc<TurnLog>,
+    noticed: mpsc::Sender<NoticedSignal>,
 }
 
+/// The signals that the process has noticed, in order.
+pub(super) struct NoticedSignals(mpsc::Receiver<NoticedSignal>);
+
 impl Signals {
-    /// Installs the handlers. Must run inside a tokio runtime.
+    /// Installs the handlers. Must run inside a tokio runtime, whose event loop writes `turns`.
     ///
     /// # Errors
     ///
     /// [`DaemonError::Signals`] if a handler can't be installed.
-    pub fn install() -> Result<Signals, DaemonError> {
+    pub(super) fn install(turns: Rc<TurnLog>) -> Result<(Signals, NoticedSignals), DaemonError> {
         let install = |kind| signal(kind).map_err(DaemonError::Signals);
-        Ok(Signals {
+        let (sender, receiver) = mpsc::channel(MAX_PENDING_SIGNALS);
+        let signals = Signals {
             terminate: install(SignalKind::terminate())?,
             interrupt: install(SignalKind::interrupt())?,
             hangup: install(SignalKind::hangup())?,
             user_defined_1: install(SignalKind::user_defined1())?,
-        })
+            turns,
+            noticed: sender,
+        };
+        Ok((signals, NoticedSignals(receiver)))
     }
 
-    /// Waits for the next signal and returns the action that it requests.
-    pub(super) async fn next(&mut self) -> SignalCommand {
+    /// Runs `program` and notices signals meanwhile. Must be the main future of the event loop.
+    pub(super) async fn watch_beside<F: Future>(mut self, program: F) -> F::Output {
         tokio::select! {
+            biased;
+            never = self.watch() => match never {},
+            output = program => output,
+        }
+    }
+
+    /// Notices signals as they arrive.
+    async fn watch(&mut self) -> Infallible {
+        loop {
+            let command = self.next().await;
+            let noticed_at = Instant::now();
+            let earliest_sent_at = earliest_sending(self.turns.recent(), noticed_at.into_std()).into();
+            let signal = NoticedSignal { command, noticed_at, earliest_sent_at };
+            log::info!(
+                "daemon: signal noticed, command={command:?} sent_within={:?}",
+                noticed_at - earliest_sent_at
+            );
+            if let Err(error) = self.noticed.try_send(signal) {
+                log::warn!("daemon: signal not handled, command={command:?}: {error}");
+            }
+        }
+    }
+
+    /// Waits for the next signal and returns the action that it requests. A shutdown goes before all others.
+    async fn next(&mut self) -> SignalCommand {
+        tokio::select! {
+            biased;
             _ = self.terminate.recv() => SignalCommand::Shutdown,
             _ = self.interrupt.recv() => SignalCommand::Shutdown,
             _ = self.hangup.recv() => SignalCommand::Reload,
@@ -49,3 +109,14 @@
         }
     }
 }
+
+impl NoticedSignals {
+    /// Waits for the next signal.
+    pub(super) async fn next(&mut self) -> NoticedSignal {
+        match self.0.recv().await {
+            Some(signal) => signal,
+            // Unreachable: the signals are watched for as long as the program runs.
+            None => std::future::pending().await,
+        }
+    }
+}
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -106,7 +106,7 @@
 
 impl<T: Transport + 'static> HttpFrontend<T> {
     /// Accepts clients for as long as it is polled.
-    pub async fn listen(self: Rc<Self>, listener: &TcpListener) {
+    pub async fn listen(self: Rc<Self>, listener: &TcpListener) -> Infallible {
         self.context.descriptors.put_in_service(ConnectionKind::Http);
         let FrontendContext { descriptors, lifecycle, .. } = &*self.context;
         loop {
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -121,6 +121,11 @@
         self.is_closing.subscribe()
     }
 
+    /// Number of open client connections.
+    pub fn open_connections(&self) -> usize {
+        *self.open_connections.borrow()
+    }
+
     /// Waits until all connections are closed.
     pub async fn connections_closed(&self) {
         // The sender lives in `self`, so the wait can't fail.
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,8 @@
 use env_logger::TimestampPrecision;
 use flaxgap::config::Config;
 use flaxgap::config::operators_file::OperatorsFile;
-use flaxgap::daemon::{Daemon, Signals};
+use flaxgap::daemon::{self, Daemon};
 use flaxgap::logging;
-use flaxgap::metrics::event_loop::MeasuredTurns;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -22,7 +21,7 @@
 
 fn main() -> ExitCode {
     logging::init(TimestampPrecision::Micros);
-    let exit_code = match run() {
+    let exit_code = match daemon::run_event_loop(configure) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("flaxgap: {error}");
@@ -33,16 +32,6 @@
     exit_code
 }
 
-fn run() -> Result<(), Box<dyn std::error::Error>> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = tokio::task::LocalSet::new();
-    let signals = local.block_on(&runtime, async { Signals::install() })?;
-    let daemon = configure()?;
-    let counters = daemon.counters();
-    runtime.block_on(MeasuredTurns::new(local.run_until(daemon.run(signals)), counters))?;
-    Ok(())
-}
-
 /// Creates the daemon from the files named in the environment.
 fn configure() -> Result<Daemon, Box<dyn std::error::Error>> {
     let config_path = std::env::var(CONFIG_FILE)
--- a/src/metrics/counters.rs
+++ b/src/metrics/counters.rs
@@ -210,6 +210,8 @@
     held_back_unconfirmed,
     /// Connections not used because unexpected data had arrived on them; the attempt took another one.
     held_back_connection,
+    /// Connections to nodes that were closed because bytes had arrived on them that belonged to no request.
+    surplus_responses,
     /// Connections opened to nodes.
     node_connections,
     /// Connections accepted from clients.
@@ -323,6 +325,11 @@
 }
 
 impl Counters {
+    /// Number of requests that are accepted and not answered.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.get()
+    }
+
     /// Creates counters that are all zero, for classes with these names.
     pub fn new(class_names: &[String]) -> Rc<Counters> {
         let classes = class_names.iter().map(|name| ClassCounters::new(name)).collect();
--- a/src/metrics/event_loop.rs
+++ b/src/metrics/event_loop.rs
@@ -48,17 +48,52 @@
     }
 }
 
+/// The turn before the current one. An event of which the process learns in this turn occurred after
+/// the previous turn began, since the poll for I/O before that turn did not report it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecentTurns {
+    /// When the previous turn began.
+    pub previous_began: Instant,
+    /// When the previous turn ended, after which the process waited for I/O.
+    pub previous_ended: Instant,
+}
+
+/// The latest turns of the event loop, written by [`MeasuredTurns`].
+#[derive(Debug)]
+pub struct TurnLog {
+    /// The latest turn that has ended.
+    latest: Cell<RecentTurns>,
+}
+
+impl TurnLog {
+    /// Creates the log of an event loop that begins now.
+    pub fn start() -> Rc<TurnLog> {
+        let now = Instant::now();
+        Rc::new(TurnLog { latest: Cell::new(RecentTurns { previous_began: now, previous_ended: now }) })
+    }
+
+    /// The turn before the current one. To be called within a turn.
+    pub fn recent(&self) -> RecentTurns {
+        self.latest.get()
+    }
+
+    fn turn_ended(&self, began: Instant, ended: Instant) {
+        self.latest.set(RecentTurns { previous_began: began, previous_ended: ended });
+    }
+}
+
 /// A future that measures how long each poll of the main future takes. Each poll is one turn, since the single-threaded
 /// runtime polls for I/O between two polls of the main future.
 pub struct MeasuredTurns<F> {
     program: Pin<Box<F>>,
+    turns: Rc<TurnLog>,
     counters: Rc<Counters>,
 }
 
 impl<F: Future> MeasuredTurns<F> {
-    /// Wraps `program`, the main future passed to the runtime. Turns are recorded in `counters`.
-    pub fn new(program: F, counters: Rc<Counters>) -> MeasuredTurns<F> {
-        MeasuredTurns { program: Box::pin(program), counters }
+    /// Wraps `program`, the main future passed to the runtime. Turns are recorded in `turns` and `counters`.
+    pub fn new(program: F, turns: Rc<TurnLog>, counters: Rc<Counters>) -> MeasuredTurns<F> {
+        MeasuredTurns { program: Box::pin(program), turns, counters }
     }
 }
 
@@ -70,6 +105,7 @@
         let polled = self.program.as_mut().poll(cx);
         let now = Instant::now();
         let turn = now.saturating_duration_since(start);
+        self.turns.turn_ended(start, now);
         self.counters.longest_turn.record(turn, now);
         if turn >= LONG_TURN {
             self.counters.long_turns.add();
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -7,6 +7,7 @@
 use crate::scheduler::NodeId;
 use bytes::Bytes;
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -120,14 +121,16 @@
 
     /// Checks that the connection is open and has no unread bytes.
     fn check_connection(&self, stage: Stage, stream: &TcpStream) -> Result<(), NotSentReason> {
-        if socket::has_nothing_unread(stream) {
-            return Ok(());
-        }
+        let state = match socket::peek(stream) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Ok(1..) => {
+                self.counters.surplus_responses.add();
+                "bytes of no request on it"
+            }
+            Ok(0) | Err(_) => "closed by the node",
+        };
         self.counters.held_back_connection.add();
-        log::debug!(
-            "node: connection closed by node or unexpected bytes on it, node={} stage={stage:?}",
-            self.node.0
-        );
+        log::debug!("node: connection not used, node={} stage={stage:?}: {state}", self.node.0);
         Err(NotSentReason::ConnectionUnusable)
     }
 }
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -49,9 +49,13 @@
         loop {
             let mut connection = self.remove_newest(node)?;
             connection.slot.mark_in_use();
-            if connection.idle_since.elapsed() < self.idle_timeout && connection.is_usable().await {
+            if connection.idle_since.elapsed() >= self.idle_timeout {
+                continue;
+            }
+            if connection.is_usable().await {
                 return Some(connection);
             }
+            connection.progress.connection_unusable(node);
         }
     }
 
--- a/src/node/progress.rs
+++ b/src/node/progress.rs
@@ -4,6 +4,7 @@
 use super::limits::MAX_RESPONSE_BYTES;
 use crate::core::WriteProgress;
 use crate::metrics::counters::Counters;
+use crate::scheduler::NodeId;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
@@ -182,6 +183,17 @@
         guard.as_ref()?.permit.response_wait.stalled_at(last_bytes_at)
     }
 
+    /// Records that an idle connection can't carry another request: its node has closed it, or has sent bytes that belong
+    /// to no request.
+    pub(super) fn connection_unusable(&self, node: NodeId) {
+        if self.is_closed_by_node() {
+            log::debug!("node: idle connection closed by node, node={}", node.0);
+            return;
+        }
+        self.counters.surplus_responses.add();
+        log::debug!("node: bytes of no request on an idle connection, node={}", node.0);
+    }
+
     /// Records that the node has closed or reset the connection.
     pub(super) fn closed_by_node(&self) {
         self.closed_by_node.set(true);
