The shutdown is counted from when SIGTERM was sent; last answers may be delayed

Callers saw: requests on kept connections had no answer; they ended with the connection, at SIGKILL. Cause: the schedule began when the process noticed SIGTERM, while the platform counts from when it sent it; the last answers were due 0.1 s before the end, less than a head may be held up before it writes. Change: the signal is taken for as old as the platform's terms and the event loop's turns allow (signal_age); the schedule is counted back from the earliest kill (shutdown_schedule): last answers 0.25 s before it, in which a delay of 0.15 s and all answers at once with a tenth of a core have their place, and the close of idle connections 0.35 s before them. What is no complete request by then is not waited for, and answers still being sent are broken off in order before the kill.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod listeners;
 mod reload;
 mod run;
+mod shutdown_schedule;
 mod signal_age;
 mod signals;
 
--- a/src/frontend/block/session.rs
+++ b/src/frontend/block/session.rs
@@ -106,7 +106,7 @@
 
 impl<T: Transport + 'static> Session<T> {
     async fn run(&mut self, handle: &SessionHandle) -> Result<(), SessionError> {
-        let mut closing = self.frontend.phases.subscribe_closing();
+        let mut closing = self.frontend.phases.closing();
         let mut close_at: Option<Instant> = None;
         let mut last_received = Instant::now();
         let slot = self.slot.clone();
@@ -145,7 +145,7 @@
                     }
                     slot.decline_reclaim();
                 }
-                _ = closing.wait_for(|closing| *closing), if close_at.is_none() => {
+                _ = closing.when_idle(), if close_at.is_none() => {
                     self.ask_for_logout().await?;
                     close_at = Some(Instant::now() + SHUTDOWN_GRACE);
                 }
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -18,12 +18,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// The response to a client that stopped in the middle of a request head, when descriptors run short.
 const HEAD_INCOMPLETE_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-/// The response to a client whose long head there is no memory for.
+/// The response to a client whose long head there is no memory for, or whose head is not complete at the end of the program.
 const OVERLOADED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// How long after its acceptance a connection is kept open for its first request while the program shuts down.
@@ -37,6 +37,20 @@
 /// Error code of a GOAWAY that asks for HTTP/1.1 (RFC 9113, section 7).
 const HTTP_1_1_REQUIRED: u32 = 13;
 
+/// Delay before a connection is looked at again that is still open at the end of the shutdown.
+const BREAK_OFF_RECHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How far the shutdown of the program has come for one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShutdownStage {
+    /// The connection is in service.
+    InService,
+    /// The connection closes as soon as it is idle.
+    CloseWhenIdle,
+    /// The connection closes unless a request is owed an answer.
+    BreakOff,
+}
+
 /// The HTTP/1.1 frontend.
 pub struct HttpFrontend<T> {
     /// State that the frontends share.
@@ -149,14 +163,19 @@
         let memory = self.frontend.context.memory.clone();
         let mut exchanges = Exchanges::new(state.clone(), memory, service);
         let opened_at = Instant::now();
-        let mut shutdown = pin!(self.shutdown(opened_at));
+        let mut stage = ShutdownStage::InService;
+        let mut next_stage = pin!(self.next_stage(stage, opened_at));
         let mut timeout = pin!(sleep_until(state.timeout_at().unwrap_or(opened_at)));
         let mut client_check = pin!(sleep_until(opened_at));
         let mut checks_client = false;
         let mut reclaimed = false;
         let mut body_rejected = false;
-        let mut shutdown_begun = false;
         let reason = loop {
+            if stage == ShutdownStage::BreakOff {
+                if let Some(reason) = self.broken_off(stream) {
+                    break reason;
+                }
+            }
             if state.is_close_requested() && state.is_idle() && state.has_nothing_unread() {
                 break if state.is_unused() { CloseReason::NothingOwed } else { CloseReason::Done };
             }
@@ -183,8 +202,9 @@
                         state.reject_body();
                     }
                 }
-                () = shutdown.as_mut(), if !shutdown_begun => {
-                    shutdown_begun = true;
+                reached = next_stage.as_mut() => {
+                    stage = reached;
+                    next_stage.set(self.next_stage(stage, opened_at));
                     state.request_close();
                 }
                 () = state.changed() => if let Some(timeout_at) = state.timeout_at() {
@@ -214,12 +234,42 @@
         ServiceEnd { reason, reclaimed, unread_body_bytes: exchanges.unread_body_bytes() }
     }
 
-    /// Waits until the program shuts down and the connection has been open for [`FIRST_REQUEST_GRACE`], since its first
-    /// request may be in transit.
-    async fn shutdown(&self, opened_at: Instant) {
-        let mut closing = self.frontend.context.lifecycle.subscribe_closing();
-        let _ = closing.wait_for(|closing| *closing).await;
-        sleep_until(opened_at + FIRST_REQUEST_GRACE).await;
+    /// Waits for the stage of the shutdown that follows `stage`; for [`ShutdownStage::BreakOff`], until the connection has
+    /// to be looked at again.
+    async fn next_stage(&self, stage: ShutdownStage, opened_at: Instant) -> ShutdownStage {
+        let mut closing = self.frontend.context.lifecycle.closing();
+        match stage {
+            ShutdownStage::InService => {
+                let requests_until = closing.when_idle().await;
+                // The first request of a new connection may be in transit.
+                sleep_until((opened_at + FIRST_REQUEST_GRACE).min(requests_until)).await;
+                ShutdownStage::CloseWhenIdle
+            }
+            ShutdownStage::CloseWhenIdle => {
+                closing.break_off().await;
+                ShutdownStage::BreakOff
+            }
+            ShutdownStage::BreakOff => {
+                sleep(BREAK_OFF_RECHECK_INTERVAL).await;
+                ShutdownStage::BreakOff
+            }
+        }
+    }
+
+    /// Decides how the connection closes at the end of the shutdown; `None` while a request is owed an answer, or is still
+    /// to be read. A client must not take the end of the process for the end of its answer.
+    fn broken_off(&self, stream: &TcpStream) -> Option<CloseReason> {
+        let state = &self.state;
+        if state.is_sending_answer() {
+            log::info!("http: answer broken off at the end of the shutdown");
+            return Some(CloseReason::AnswerBroken);
+        }
+        if !state.has_incomplete_head() || !state.has_nothing_unread() {
+            return None;
+        }
+        let written = stream.try_write(OVERLOADED_RESPONSE);
+        log::debug!("http: head incomplete at the end of the shutdown, result={written:?}");
+        Some(CloseReason::Done)
     }
 
     /// Returns why the connection closes after its exchanges have ended.
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -5,6 +5,7 @@
 use super::{Http2Frontend, stream};
 use crate::core::{Transport, seconds};
 use crate::frontend::closing::{CloseReason, ServiceEnd, SharedStream};
+use crate::lifecycle::Closing;
 use crate::resources::descriptors::ClientSlot;
 use bytes::Bytes;
 use flaxgap_streams::abuse::FrameBudgets;
@@ -20,7 +21,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// Error code of a GOAWAY that ends a connection of which no stream was processed (RFC 9113, section 7).
@@ -131,7 +132,7 @@
         opened_at,
         ended_sender,
         ended,
-        shutdown: frontend.context.lifecycle.subscribe_closing(),
+        shutdown: frontend.context.lifecycle.closing(),
         shutdown_begun: false,
     };
     let cause = open.run().await;
@@ -228,7 +229,7 @@
     /// Receives a message when a stream ends.
     ended_sender: mpsc::UnboundedSender<()>,
     ended: mpsc::UnboundedReceiver<()>,
-    shutdown: watch::Receiver<bool>,
+    shutdown: Closing,
     shutdown_begun: bool,
 }
 
@@ -289,7 +290,7 @@
             biased;
             violation = self.guard.violation() => ConnectionEvent::Violation(violation),
             Some(()) = self.ended.recv() => ConnectionEvent::StreamEnded,
-            _ = self.shutdown.wait_for(|closing| *closing), if !self.shutdown_begun => {
+            _ = self.shutdown.when_idle(), if !self.shutdown_begun => {
                 ConnectionEvent::Shutdown
             }
             () = self.slot.reclaimed() => ConnectionEvent::DescriptorsShort,
--- a/src/frontend/intake/connection_state.rs
+++ b/src/frontend/intake/connection_state.rs
@@ -151,9 +151,21 @@
         matches!(self.current_request.get(), CurrentRequest::Serving { body_incomplete: true, .. })
     }
 
+    /// Whether a part of a request head has arrived, and no other request is served.
+    pub fn has_incomplete_head(&self) -> bool {
+        self.is_answer_sent() && self.is_next_arriving()
+    }
+
     /// Whether the client has stopped in the middle of a request head, and no other request is served.
     pub fn is_stalled_in_head(&self) -> bool {
-        self.is_answer_sent() && self.is_next_arriving() && self.is_stalled()
+        self.has_incomplete_head() && self.is_stalled()
+    }
+
+    /// Whether a part of an answer is still to be sent: the node has not sent it, or the client does not read.
+    pub fn is_sending_answer(&self) -> bool {
+        let is_begun =
+            matches!(self.current_request.get(), CurrentRequest::Serving { answer_begun: true, .. });
+        is_begun || self.unread_since.get().is_some()
     }
 
     /// Whether the client has stopped in the middle of a request body, and the request has no answer yet.
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -6,6 +6,7 @@
 use std::io;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
 
 /// A phase of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,14 +21,61 @@
     Stopped,
 }
 
+/// How client connections have to close, later stages after earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ClosingStage {
+    /// Not at all.
+    Open,
+    /// As soon as they are idle. What is not a complete request by `requests_until` is not served.
+    WhenIdle {
+        /// The end of requests that are not complete, and of connections that wait for their first one.
+        requests_until: Instant,
+    },
+    /// At once, with answers that are not complete broken off; requests that are owed an answer are answered first.
+    BreakOff,
+}
+
 /// State of the process, shared by the frontends, the handover and the graceful shutdown.
 pub struct Lifecycle {
     phase: watch::Sender<Phase>,
     is_accepting: watch::Sender<bool>,
-    is_closing: watch::Sender<bool>,
+    closing: watch::Sender<ClosingStage>,
     open_connections: watch::Sender<usize>,
 }
 
+/// The closing of connections as one of them follows it.
+#[derive(Clone)]
+pub struct Closing(watch::Receiver<ClosingStage>);
+
+impl Closing {
+    /// Waits until connections have to close when idle, and returns the end of requests that are not complete.
+    pub async fn when_idle(&mut self) -> Instant {
+        match self.wait_for(|stage| *stage != ClosingStage::Open).await {
+            ClosingStage::WhenIdle { requests_until } => requests_until,
+            ClosingStage::Open | ClosingStage::BreakOff => Instant::now(),
+        }
+    }
+
+    /// Waits until requests that are not complete are not served any more.
+    pub async fn requests_end(&mut self) {
+        let requests_until = self.when_idle().await;
+        sleep_until(requests_until).await;
+    }
+
+    /// Waits until answers have to be broken off.
+    pub async fn break_off(&mut self) {
+        self.wait_for(|stage| *stage == ClosingStage::BreakOff).await;
+    }
+
+    async fn wait_for(&mut self, is_reached: impl FnMut(&ClosingStage) -> bool) -> ClosingStage {
+        match self.0.wait_for(is_reached).await {
+            Ok(stage) => *stage,
+            // The lifecycle is gone, and the process with it.
+            Err(_) => ClosingStage::BreakOff,
+        }
+    }
+}
+
 /// Counts a client connection as open until dropped; the graceful shutdown waits for all open connections.
 pub struct ConnectionGuard {
     open_connections: watch::Sender<usize>,
@@ -51,7 +99,7 @@
         Lifecycle {
             phase: watch::Sender::new(Phase::Starting),
             is_accepting: watch::Sender::new(true),
-            is_closing: watch::Sender::new(false),
+            closing: watch::Sender::new(ClosingStage::Open),
             open_connections: watch::Sender::new(0),
         }
     }
@@ -108,17 +156,23 @@
     /// Whether clients should reconnect to reach the process that accepts connections, because this one is closing its
     /// connections or another one accepts connections in its place.
     pub fn should_reconnect(&self) -> bool {
-        *self.is_closing.borrow() || !*self.is_accepting.borrow()
+        *self.closing.borrow() != ClosingStage::Open || !*self.is_accepting.borrow()
+    }
+
+    /// Signals connections to close: idle ones immediately, the others after their current response. What is not a complete
+    /// request by `requests_until` is not served.
+    pub fn close_idle_connections(&self, requests_until: Instant) {
+        self.closing.send_replace(ClosingStage::WhenIdle { requests_until });
     }
 
-    /// Signals connections to close: idle ones immediately, the others after their current response.
-    pub fn close_idle_connections(&self) {
-        self.is_closing.send_replace(true);
+    /// Signals connections to close with their answers broken off.
+    pub fn break_off_answers(&self) {
+        self.closing.send_replace(ClosingStage::BreakOff);
     }
 
-    /// A receiver whose value becomes true on [`Lifecycle::close_idle_connections`].
-    pub fn subscribe_closing(&self) -> watch::Receiver<bool> {
-        self.is_closing.subscribe()
+    /// A view of the closing of connections, for one of them.
+    pub fn closing(&self) -> Closing {
+        Closing(self.closing.subscribe())
     }
 
     /// Number of open client connections.
--- a/src/metrics/event_loop.rs
+++ b/src/metrics/event_loop.rs
@@ -48,37 +48,43 @@
     }
 }
 
-/// The turn before the current one. An event of which the process learns in this turn occurred after
-/// the previous turn began, since the poll for I/O before that turn did not report it.
+/// The two turns before the current one.
+///
+/// A signal that the process notices in the current turn was sent after the turn before the previous one had ended: a
+/// signal that arrives while a poll for I/O waits ends that wait, and is reported by the poll after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RecentTurns {
+    /// When the turn before the previous one ended.
+    pub before_previous_ended: Instant,
     /// When the previous turn began.
     pub previous_began: Instant,
-    /// When the previous turn ended, after which the process waited for I/O.
+    /// When the previous turn ended.
     pub previous_ended: Instant,
 }
 
 /// The latest turns of the event loop, written by [`MeasuredTurns`].
 #[derive(Debug)]
 pub struct TurnLog {
-    /// The latest turn that has ended.
-    latest: Cell<RecentTurns>,
+    recent: Cell<RecentTurns>,
 }
 
 impl TurnLog {
     /// Creates the log of an event loop that begins now.
     pub fn start() -> Rc<TurnLog> {
         let now = Instant::now();
-        Rc::new(TurnLog { latest: Cell::new(RecentTurns { previous_began: now, previous_ended: now }) })
+        let none = RecentTurns { before_previous_ended: now, previous_began: now, previous_ended: now };
+        Rc::new(TurnLog { recent: Cell::new(none) })
     }
 
-    /// The turn before the current one. To be called within a turn.
+    /// The turns before the current one. To be called within a turn.
     pub fn recent(&self) -> RecentTurns {
-        self.latest.get()
+        self.recent.get()
     }
 
     fn turn_ended(&self, began: Instant, ended: Instant) {
-        self.latest.set(RecentTurns { previous_began: began, previous_ended: ended });
+        let before_previous_ended = self.recent.get().previous_ended;
+        let recent = RecentTurns { before_previous_ended, previous_began: began, previous_ended: ended };
+        self.recent.set(recent);
     }
 }
 
--- a/src/metrics/event_loop/tests.rs
+++ b/src/metrics/event_loop/tests.rs
@@ -43,17 +43,18 @@
 
 /// Guards against a turn that is taken for the one before it while it lasts: an event that it finds is older.
 #[test]
-fn within_a_turn_the_log_has_the_turn_before_it() {
+fn within_a_turn_the_log_has_the_turns_before_it() {
     let counters = Rc::new(Counters::default());
     let turns = TurnLog::start();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let program = async {
-        let first_began = Instant::now();
+        tokio::task::yield_now().await;
+        let long_turn_began = Instant::now();
         std::thread::sleep(LONG_TURN);
         tokio::task::yield_now().await;
-        let RecentTurns { previous_began, previous_ended } = turns.recent();
-        assert!(previous_began <= first_began);
-        assert!(previous_ended >= first_began + LONG_TURN && previous_ended <= Instant::now());
+        let RecentTurns { before_previous_ended, previous_began, previous_ended } = turns.recent();
+        assert!(before_previous_ended <= previous_began && previous_began <= long_turn_began);
+        assert!(previous_ended >= long_turn_began + LONG_TURN && previous_ended <= Instant::now());
     };
     runtime.block_on(MeasuredTurns::new(program, turns.clone(), counters));
 }
--- a/tests/held_up_at_the_end.rs
+++ b/tests/held_up_at_the_end.rs
@@ -5,7 +5,7 @@
 mod peers;
 
 use nix::sys::signal::Signal;
-use peers::lasting_clients::{Exchange, HeadEnd, LastingClient};
+use peers::lasting_clients::{ANSWER_SLACK, Exchange, HeadEnd, LastingClient};
 use peers::process_signals::{MAX_HOLD_UP, hold_up, kill_delay, send, sleep_until, terminate_held_up};
 use peers::*;
 use std::collections::HashSet;
@@ -155,9 +155,71 @@
             total.add(client.join().expect("a client ends"));
         }
     });
+    if !total.lost.is_empty() {
+        total.lost.push(head.log().join("\n"));
+    }
     total
 }
 
+/// Requests that wait for a node as the head ends: the connections that clients have for requests.
+const REQUESTS_IN_HAND: usize = 330;
+/// A head with a fifth of a core: how long it runs, and how long it does not.
+const RUNS_FOR: Duration = Duration::from_millis(4);
+const RESTS_FOR: Duration = Duration::from_millis(16);
+
+/// When the head is held up that has a part of a core: as the last answers are due.
+const LAST_ANSWERS_BEFORE_KILL: Duration = Duration::from_millis(270);
+
+/// Sends one request that its node does not answer, and returns the time of the answer.
+fn wait_for_last_answer(http: SocketAddr, deadline: Duration) -> Option<Instant> {
+    let request = Client::request("play-fetch", "network", 1, deadline.as_secs_f64(), 0);
+    let mut client = Client::try_new(http)?;
+    client.set_time_limit(deadline + ANSWER_SLACK);
+    client.try_send_all(&request, b"");
+    client.answer().map(|_| Instant::now())
+}
+
+/// Guards against last answers that are due at the same moment and take longer to be written than there is time: a head
+/// with a fifth of a core, held up at SIGTERM and again as they are due.
+#[test]
+fn a_head_with_part_of_a_core_answers_all_that_it_has_in_hand() {
+    let longest_deadline = Duration::from_secs(6);
+    let node = Brick::start(|_, _| Step::Silent);
+    let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
+    let mut head = Head::start_text(&configuration(&discovery, longest_deadline), None, &[]);
+    let http = head.http;
+    thread::scope(|scope| {
+        let terminated_at = terminate_held_up(&head, MAX_HOLD_UP);
+        let kill_at = terminated_at + kill_delay(longest_deadline);
+        sleep_until(terminated_at + MAX_HOLD_UP * 2);
+        let clients: Vec<_> = (0..REQUESTS_IN_HAND)
+            .map(|_| scope.spawn(move || wait_for_last_answer(http, longest_deadline)))
+            .collect();
+        sleep_until(kill_at - Duration::from_millis(900));
+        while Instant::now() < kill_at - LAST_ANSWERS_BEFORE_KILL {
+            hold_up(&head, RESTS_FOR);
+            thread::sleep(RUNS_FOR);
+        }
+        // The last answers are due while it is held up.
+        hold_up(&head, MAX_HOLD_UP);
+        while Instant::now() < kill_at {
+            thread::sleep(RUNS_FOR);
+            hold_up(&head, RESTS_FOR.min(kill_at.saturating_duration_since(Instant::now())));
+        }
+        send(&head, Signal::SIGKILL);
+        head.wait_end();
+        let answers: Vec<Option<Instant>> =
+            clients.into_iter().map(|client| client.join().expect("a client ends")).collect();
+        let last = answers.iter().flatten().max().expect("an answer");
+        println!(
+            "the last of {} answers came {:?} before the kill",
+            answers.len(),
+            kill_at.saturating_duration_since(*last)
+        );
+        assert_eq!(answers.iter().filter(|answer| answer.is_none()).count(), 0, "requests lost at the kill");
+    });
+}
+
 /// Plays one head for each scenario, all at once, and prints what each lost.
 fn none_is_lost(scenarios: &[Scenario]) {
     let outcomes: Vec<Outcome> = thread::scope(|scope| {
--- a/tests/races_clients.rs
+++ b/tests/races_clients.rs
@@ -46,7 +46,9 @@
                     assert_eq!(client.answer().expect("an answer").status(), 200);
                     client.send("", &request[..cut]);
                     match reason {
-                        Reason::Shutdown => stand.phases.close_idle_connections(),
+                        Reason::Shutdown => {
+                            stand.phases.close_idle_connections(tokio::time::Instant::now() + WAIT_TIMEOUT)
+                        }
                         Reason::Scarce => assert!(stand.budget.close_idle_connection(), "it rests"),
                     }
                     stand.woken().await;
@@ -76,7 +78,7 @@
             let mut client = stand.client().await;
             client.send(&[first.replacen(" HTTP", "?slow HTTP", 1), read(3.0)].concat(), b"");
             stand.until(|_| brick.seen().len() == 1).await;
-            stand.phases.close_idle_connections();
+            stand.phases.close_idle_connections(tokio::time::Instant::now() + WAIT_TIMEOUT);
             let answers = stand.beside(move || [client.answer(), client.answer(), client.answer()]).await;
             let said =
                 answers.map(|answer| answer.map(|a| (a.body.clone(), a.header("connection").to_string())));
@@ -97,7 +99,7 @@
         stand.until(|_| brick.seen().len() == 1).await;
         stand.run(350).await;
         assert_eq!(client.answer().expect("an answer").body, b"served");
-        stand.phases.close_idle_connections();
+        stand.phases.close_idle_connections(tokio::time::Instant::now() + WAIT_TIMEOUT);
         stand.woken().await;
         stand.run(20).await;
         client.send(&read(3.0), b"");
@@ -118,7 +120,7 @@
         let brick = Brick::start(move |_, _| Step::Serve(body.clone()));
         stand.list(&brick);
         let mut client = stand.take(Client::with_little_room).await;
-        stand.phases.close_idle_connections();
+        stand.phases.close_idle_connections(tokio::time::Instant::now() + WAIT_TIMEOUT);
         client.send(&read(3.0), b"");
         stand.until(|_| brick.seen().len() == 1).await;
         stand.run(100).await;
