Uploads and bodies that are not complete at the end of the shutdown are answered

Callers saw: an upload whose last byte came in the last 0.9 s before SIGKILL had no answer, neither served nor failed. Cause: an upload that is forwarded was exempt from the shutdown deadline, and a body that is still gathered never met it; the last byte may come at any moment, and from then on the request is owed an answer. Change: the shutdown deadline ends both: 503 if no node can have run the request, else 502.

--- a/src/core/dispatcher.rs
+++ b/src/core/dispatcher.rs
@@ -134,6 +134,11 @@
         self.shutdown_deadline.set(at);
     }
 
+    /// Waits until the shutdown deadline has passed; forever while none is set.
+    pub async fn shutdown_deadline_passed(&self) {
+        self.shutdown_deadline.passed().await;
+    }
+
     /// Passes events to the scheduler and executes the actions that it returns.
     ///
     /// The scheduler runs at most once per tick, since each run visits all pending requests; events that arrive in
--- a/src/core/serve.rs
+++ b/src/core/serve.rs
@@ -7,8 +7,9 @@
 //! - `Finished`: the outcome is known.
 //!
 //! Forwarding a streamed body is not a state of its own: it is `Attempting` with `is_forwarding_body()` true, after the
-//! attempt has taken the body. From then on the request can't be retried, the scheduler's deadline no longer applies,
-//! and the shutdown deadline does not abort the request.
+//! attempt has taken the body. From then on the request can't be retried, and the scheduler's deadline no longer applies.
+//! The shutdown deadline ends it as any other: its last byte may come, and its answer be owed, at any moment before the
+//! process is killed.
 
 use crate::core::content::StreamedBody;
 use crate::core::decision::{Decision, SendDecision};
@@ -177,7 +178,7 @@
         tokio::select! {
             biased;
             decision = self.guard.decisions.recv() => ServeState::after_decision(decision),
-            () = shutdown, if !self.is_forwarding_body() => {
+            () = shutdown => {
                 ServeState::Finished(Conclusion::AbortedByShutdown)
             }
             () = sleep_until(self.overdue_at) => ServeState::Finished(Conclusion::SchedulerOverdue),
@@ -208,9 +209,7 @@
                     decision => break AttemptCompletion::Cancelled(decision),
                 },
                 result = sending.as_mut() => break AttemptCompletion::Completed(result),
-                () = shutdown.as_mut(), if !self.is_forwarding_body() => {
-                    break AttemptCompletion::AbortedByShutdown;
-                }
+                () = shutdown.as_mut() => break AttemptCompletion::AbortedByShutdown,
                 () = streaming_started(self.upload()) => self.notify_streaming_started(),
             }
         };
--- a/src/frontend/request.rs
+++ b/src/frontend/request.rs
@@ -97,11 +97,22 @@
             Err(overload) => return reject_overloaded(overload, &in_flight),
         };
         // Boxed, so that the future's memory is freed once the body has been read.
-        let call = Box::pin(self.read_call(request, fields, body_grace, client)).await;
+        let mut reading = Box::pin(self.read_call(request, fields, body_grace, client));
+        let call = tokio::select! {
+            biased;
+            call = reading.as_mut() => call,
+            () = self.dispatcher.shutdown_deadline_passed() => Err(CallError::ShutDown),
+        };
+        drop(reading);
         let call = call.and_then(|call| self.claim_id(call));
         let mut response = match call {
             Ok(call) => self.serve(call, in_flight).await,
             Err(CallError::Overloaded(overload)) => reject_overloaded(overload, &in_flight),
+            Err(CallError::ShutDown) => {
+                log::debug!("http: request rejected, body incomplete at the end of the shutdown");
+                in_flight.finish(FinalOutcome::Rejected);
+                response::rejected(0.0)
+            }
             Err(CallError::BadRequest(error)) => {
                 in_flight.finish(FinalOutcome::Failed);
                 self.reject(&error)
@@ -258,6 +269,9 @@
     /// Resources are short.
     #[error(transparent)]
     Overloaded(#[from] Overload),
+    /// The process ends before the body is complete.
+    #[error("the process ends")]
+    ShutDown,
 }
 
 impl From<BodyError<BadRequest>> for CallError {
--- a/src/frontend/request/response.rs
+++ b/src/frontend/request/response.rs
@@ -136,7 +136,8 @@
     rejected(OVERLOADED_RETRY_AFTER_S)
 }
 
-fn rejected(retry_after_s: f64) -> Response<ResponseBody> {
+/// Returns the response to a request that was rejected without effect.
+pub(super) fn rejected(retry_after_s: f64) -> Response<ResponseBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, come again\n");
     if retry_after_s > 0.0 {
         if let Ok(value) = HeaderValue::from_str(&format!("{retry_after_s:.3}")) {
--- a/tests/held_up_at_the_end.rs
+++ b/tests/held_up_at_the_end.rs
@@ -264,3 +264,64 @@
     }
     none_is_lost(&scenarios);
 }
+
+/// An upload that is not complete as the head is told to end.
+#[derive(Clone, Copy, Debug)]
+struct SlowUpload {
+    /// Bytes of the body: few enough to be held, or so many that they are passed on as they come.
+    length: usize,
+    /// How long before the earliest SIGKILL the last byte is sent.
+    last_byte_before_kill: Duration,
+}
+
+/// Sends an upload as the head ends; whether it had an answer.
+fn is_upload_answered(upload: SlowUpload) -> bool {
+    let longest_deadline = Duration::from_secs(1);
+    let node = Brick::start(|_, _| Step::Silent);
+    let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
+    let mut head = Head::start_text(&configuration(&discovery, longest_deadline), None, &[]);
+    let request =
+        Client::request("episode-save", "network", 1, longest_deadline.as_secs_f64(), upload.length);
+    let mut client = Client::new(head.http);
+    thread::scope(|scope| {
+        let terminated_at = terminate_held_up(&head, MAX_HOLD_UP);
+        let kill_at = terminated_at + kill_delay(longest_deadline);
+        let answer = scope.spawn(move || {
+            let body = vec![b'x'; upload.length];
+            let (first, last) = body.split_at(upload.length - 1);
+            sleep_until(terminated_at + MAX_HOLD_UP * 2);
+            client.try_send_all(&request, first);
+            sleep_until(kill_at - upload.last_byte_before_kill);
+            client.try_send_all("", last);
+            client.answer()
+        });
+        sleep_until(kill_at - upload.last_byte_before_kill);
+        hold_up(&head, MAX_HOLD_UP.min(upload.last_byte_before_kill));
+        sleep_until(kill_at);
+        send(&head, Signal::SIGKILL);
+        head.wait_end();
+        answer.join().expect("a client ends").is_some()
+    })
+}
+
+/// Guards against an upload that is waited for past the end of the process: its last byte may come at any moment.
+#[test]
+fn an_upload_whose_last_byte_comes_near_the_end_is_answered() {
+    let lengths = [2000, 400_000];
+    let moments = [900, 500, 300, 200, 100, 40].map(Duration::from_millis);
+    let uploads: Vec<SlowUpload> = lengths
+        .iter()
+        .flat_map(|length| {
+            moments.map(|last_byte_before_kill| SlowUpload { length: *length, last_byte_before_kill })
+        })
+        .collect();
+    let unanswered: Vec<SlowUpload> = thread::scope(|scope| {
+        let played: Vec<_> =
+            uploads.iter().map(|upload| (upload, scope.spawn(|| is_upload_answered(*upload)))).collect();
+        let unanswered = played
+            .into_iter()
+            .filter_map(|(upload, answered)| (!answered.join().expect("a head ends")).then_some(*upload));
+        unanswered.collect()
+    });
+    assert!(unanswered.is_empty(), "uploads without an answer: {unanswered:#?}");
+}
