HTTP/2 streams are answered up to the end of a process

Callers saw: over HTTP/2, streams sent up to the kill had no answer: connection reset; with a short grace_s, streams were cut off while others were answered. Cause: the listening sockets of the HTTP/2 and block frontends stayed open to the end of the process, so that clients which were asked to leave came again; and the grace of a connection ended it before the last answers were due. Change: all frontends accept what is queued when connections close, and then close their sockets, by one function; a connection stays open until the last answers are sent.

--- a/crates/streams/src/graceful_shutdown.rs
+++ b/crates/streams/src/graceful_shutdown.rs
@@ -113,6 +113,13 @@
         Action::SendGoaway
     }
 
+    /// Keeps a connection that shuts down open at least until `until`, in seconds, unless its streams end before.
+    pub fn keep_open_until(&mut self, until: f64) {
+        if let State::Draining { until: scheduled } = &mut self.state {
+            *scheduled = scheduled.max(until);
+        }
+    }
+
     /// Returns when [`poll`](Self::poll) has to be called next, in seconds; `None` if there is no timer.
     pub fn deadline(&self) -> Option<f64> {
         match self.state {
--- a/crates/streams/src/graceful_shutdown/tests.rs
+++ b/crates/streams/src/graceful_shutdown/tests.rs
@@ -43,3 +43,17 @@
     assert_eq!(draining.begin(11.0, Cause::Reclaimed), Action::None, "GOAWAY is sent once");
     assert_eq!(draining.poll(11.1), Action::Close);
 }
+
+/// Guards against streams that are cut off by a short grace time while the program still answers them.
+#[test]
+fn a_connection_is_kept_open_past_its_grace_time_while_the_program_answers() {
+    let mut shutdown = GracefulShutdown::new(30.0, 0.1, 0.0);
+    shutdown.keep_open_until(50.0);
+    assert_eq!(shutdown.deadline(), Some(30.0), "it does not shut down yet");
+    shutdown.stream_opened();
+    shutdown.begin(10.0, Cause::Drain);
+    shutdown.keep_open_until(12.0);
+    shutdown.keep_open_until(11.0);
+    assert_eq!(shutdown.poll(11.9), Action::None);
+    assert_eq!(shutdown.poll(12.0), Action::Close);
+}
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -2,21 +2,18 @@
 //! shortly before the platform would kill the process.
 
 use super::build::Parts;
-use super::listeners::accept_queued;
 use super::run::Server;
 use super::shutdown_schedule::ShutdownSchedule;
 use super::signals::NoticedSignal;
+use crate::frontend::accept::accept_queued;
 use crate::lifecycle::Phase;
 use crate::resources::descriptors::ConnectionKind;
 use std::pin::pin;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Time in which tasks write what they still hold, once answers have been broken off.
 const LAST_WRITE_TIME: Duration = Duration::from_millis(100);
-/// Pause after a failed `accept`, in which file descriptors may become free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// Shuts the process down: accepts connections until they have to close, completes the accepted requests, and closes the
 /// listening sockets. Returns when all client connections are closed, or at the end of the schedule.
 pub(super) async fn drain(parts: &Parts, server: Server, signal: NoticedSignal, longest_deadline_s: f64) {
@@ -33,15 +30,18 @@
     parts.lifecycle.enter(Phase::Stopped);
 }
 
-/// Accepts the connections that are queued, and breaks answers off if descriptors for them run short for so long.
+/// Accepts the connections that are queued, and breaks answers off if descriptors for them run short for so long. Ends with
+/// the schedule.
 async fn accept_last_connections(parts: &Parts, server: &Server, schedule: &ShutdownSchedule) {
-    let mut accepting = pin!(accept_queued_connections(parts, server, schedule.earliest_kill));
+    let mut accepting = pin!(accept_queued_connections(parts, server));
     tokio::select! {
         biased;
         () = accepting.as_mut() => return,
         () = break_off_answers(parts, schedule) => {}
     }
-    accepting.await;
+    if timeout_at(schedule.earliest_kill, accepting).await.is_err() {
+        log::error!("daemon: no descriptors for queued connections, which are reset");
+    }
 }
 
 /// Breaks off the answers that are not complete by their time, so that no client takes the end of the process for the end
@@ -99,27 +99,12 @@
     }
 }
 
-/// Accepts the connections in the kernel's accept queue, which closing the listening socket would reset. Does nothing if
-/// a newer process accepts them.
-async fn accept_queued_connections(parts: &Parts, server: &Server, end: Instant) {
-    while !parts.handover.newer_in_service() {
-        // Waits for a slot: idle connections are closing, so one becomes free, and queued connections stay open meanwhile.
-        let Ok(slot) = timeout_at(end, parts.descriptors.client_slot(ConnectionKind::Http)).await else {
-            break;
-        };
-        match accept_queued(&server.listener) {
-            Ok(Some(stream)) => server.frontend.admit(stream, slot),
-            Ok(None) => break,
-            Err(error) if Instant::now() < end => {
-                log::warn!("http: accept: {error}");
-                drop(slot);
-                parts.descriptors.close_idle_connection();
-                sleep(ACCEPT_PAUSE).await;
-            }
-            Err(error) => {
-                log::error!("http: accept: {error}; queued connections are reset");
-                break;
-            }
-        }
+/// Accepts the connections in the kernel's accept queue, which closing the listening socket would reset.
+async fn accept_queued_connections(parts: &Parts, server: &Server) {
+    let Parts { descriptors, lifecycle, .. } = parts;
+    while let Some(accepted) =
+        accept_queued(&server.listener, ConnectionKind::Http, descriptors, lifecycle).await
+    {
+        server.frontend.admit(accepted.stream, accepted.slot);
     }
 }
--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Length of the kernel's accept queue: the number of connections that clients may open in one burst.
 const BACKLOG: u32 = 1024;
@@ -120,24 +120,3 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
-
-/// Accepts a connection from the kernel's accept queue without waiting; `None` if the queue is empty. Calls `accept` on
-/// the socket itself, because the runtime may not have polled the readiness of a queued connection yet.
-///
-/// # Errors
-///
-/// The error of `accept`, such as too many open files.
-pub(super) fn accept_queued(listener: &TcpListener) -> io::Result<Option<TcpStream>> {
-    loop {
-        match socket2::SockRef::from(listener).accept() {
-            Ok((socket, _)) => {
-                socket.set_nonblocking(true)?;
-                return TcpStream::from_std(socket.into()).map(Some);
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-            // The client closed this connection while it was queued; continue with the next one.
-            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-            Err(error) => return Err(error),
-        }
-    }
-}
--- a/src/frontend/block/listener.rs
+++ b/src/frontend/block/listener.rs
@@ -4,18 +4,19 @@
 use super::session;
 use super::shared::BlockFrontend;
 use crate::core::Transport;
-use crate::frontend::accept::accept;
+use crate::frontend::accept::accept_until_closing;
 use crate::frontend::closing::{self, CloseReason, ServiceEnd};
 use crate::resources::descriptors::{ClientSlot, ConnectionKind};
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 
 impl<T: Transport + 'static> BlockFrontend<T> {
-    /// Accepts connections in a loop that never returns.
+    /// Accepts connections until they have to close.
     pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
         self.budget.put_in_service(ConnectionKind::Block);
-        loop {
-            let accepted = accept(&listener, ConnectionKind::Block, &self.budget, &self.phases).await;
+        while let Some(accepted) =
+            accept_until_closing(&listener, ConnectionKind::Block, &self.budget, &self.phases).await
+        {
             let slot = Rc::new(accepted.slot.accepted());
             let frontend = self.clone();
             let connection_guard = self.phases.track_connection();
--- a/src/frontend/http2.rs
+++ b/src/frontend/http2.rs
@@ -10,7 +10,7 @@
 mod stream;
 
 use crate::core::Transport;
-use crate::frontend::accept::{AcceptedConnection, accept};
+use crate::frontend::accept::{AcceptedConnection, accept_until_closing};
 use crate::frontend::closing;
 use crate::frontend::request::FrontendContext;
 use crate::resources::descriptors::ConnectionKind;
@@ -40,13 +40,15 @@
         Rc::new(Http2Frontend { context, settings, admission, connection_permits })
     }
 
-    /// Accepts clients for as long as it is polled.
+    /// Accepts clients until connections have to close.
     pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
         self.context.descriptors.put_in_service(ConnectionKind::Http2);
         loop {
             let Ok(permit) = self.connection_permits.clone().acquire_owned().await else { return };
             let FrontendContext { descriptors, lifecycle, .. } = &*self.context;
-            let accepted = accept(&listener, ConnectionKind::Http2, descriptors, lifecycle).await;
+            let accepted =
+                accept_until_closing(&listener, ConnectionKind::Http2, descriptors, lifecycle).await;
+            let Some(accepted) = accepted else { return };
             let connection_guard = lifecycle.track_connection();
             let frontend = self.clone();
             tokio::task::spawn_local(async move {
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -3,7 +3,7 @@
 use super::frame_guard::{FrameGuard, InspectedStream, Violation};
 use super::send_gate::SendGate;
 use super::{Http2Frontend, stream};
-use crate::core::{Transport, seconds};
+use crate::core::{MAX_HOLD_UP, Transport, seconds};
 use crate::frontend::closing::{CloseReason, ServiceEnd, SharedStream};
 use crate::lifecycle::Closing;
 use crate::resources::descriptors::ClientSlot;
@@ -30,6 +30,8 @@
 const PREFACE_RECHECK_PAUSE: Duration = Duration::from_millis(10);
 /// Time-out of the last write to a connection that is being closed.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time in which the last answers are sent once the program answers no more requests: it may be held up before.
+const LAST_ANSWERS_TIME: Duration = MAX_HOLD_UP.saturating_add(Duration::from_millis(100));
 /// Delay of a timer that is not needed: longer than any connection waits for its next event.
 const NEVER: Duration = Duration::from_secs(86_400);
 /// Most bytes of a stream's answer that `h2` buffers beyond the client's flow-control window.
@@ -205,8 +207,8 @@
     Violation(Violation),
     /// A stream has ended.
     StreamEnded,
-    /// The program shuts down.
-    Shutdown,
+    /// The program shuts down. It answers requests until this time.
+    Shutdown { requests_until: Instant },
     /// Descriptors run short, and this connection has to close.
     DescriptorsShort,
     /// The idle time-out or the grace time of the shutdown has passed.
@@ -245,10 +247,7 @@
                     return None;
                 }
                 ConnectionEvent::StreamEnded => self.stream_ended(),
-                ConnectionEvent::Shutdown => {
-                    self.shutdown_begun = true;
-                    self.graceful_shutdown.begin(self.now(), Cause::Drain)
-                }
+                ConnectionEvent::Shutdown { requests_until } => self.begin_shutdown(requests_until),
                 ConnectionEvent::DescriptorsShort => self.reclaim(),
                 ConnectionEvent::TimerDue => self.graceful_shutdown.poll(self.now()),
                 ConnectionEvent::Accepted(accepted) => match *accepted {
@@ -290,8 +289,8 @@
             biased;
             violation = self.guard.violation() => ConnectionEvent::Violation(violation),
             Some(()) = self.ended.recv() => ConnectionEvent::StreamEnded,
-            _ = self.shutdown.when_idle(), if !self.shutdown_begun => {
-                ConnectionEvent::Shutdown
+            requests_until = self.shutdown.when_idle(), if !self.shutdown_begun => {
+                ConnectionEvent::Shutdown { requests_until }
             }
             () = self.slot.reclaimed() => ConnectionEvent::DescriptorsShort,
             () = sleep_until(due) => ConnectionEvent::TimerDue,
@@ -299,6 +298,16 @@
         }
     }
 
+    /// Begins the graceful shutdown with the program. The connection stays open until the last answers are sent, however
+    /// short its grace time is.
+    fn begin_shutdown(&mut self, requests_until: Instant) -> Action {
+        self.shutdown_begun = true;
+        let action = self.graceful_shutdown.begin(self.now(), Cause::Drain);
+        let answers_until = requests_until + LAST_ANSWERS_TIME;
+        self.graceful_shutdown.keep_open_until((answers_until - self.opened_at).as_secs_f64());
+        action
+    }
+
     /// Sends a GOAWAY with the error code of the violation and closes the connection.
     async fn end_for_violation(&mut self, violation: Violation) {
         self.frontend.context.counters.http2_turned_out.add();
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -130,6 +130,11 @@
         self.is_accepting.send_replace(is_accepting);
     }
 
+    /// Whether this process accepts connections.
+    pub fn is_accepting(&self) -> bool {
+        *self.is_accepting.borrow()
+    }
+
     /// Accepts the next connection; waits while this process does not accept connections.
     ///
     /// # Errors
