Block sessions end before the kill with each command answered

Callers saw: a write over iSCSI whose data came shortly before SIGKILL had no response. Cause: a write waits for its data until its own deadline, also past the end of the process; a session ends only at a moment without outstanding commands and behind all other events; data of a read is collected past the shutdown deadline. Change: no write waits for data past the shutdown deadline; a session that has to close is looked at before each event and every 10 ms, and ends once no command is outstanding and no byte of one has arrived.

--- a/src/frontend/block/connection.rs
+++ b/src/frontend/block/connection.rs
@@ -121,6 +121,11 @@
         is_partly_received || !socket::has_nothing_unread(&*self.stream.0)
     }
 
+    /// Whether bytes have arrived that are not a handled PDU yet, read or unread.
+    pub fn has_unhandled_bytes(&self) -> bool {
+        !self.incoming.is_empty() || !socket::has_nothing_unread(&*self.stream.0)
+    }
+
     /// Initializes CmdSN and StatSN from the first login request. Login requests are immediate, so the first command
     /// of the full feature phase has the same CmdSN.
     pub fn start_numbering(&mut self, login: &Pdu) {
--- a/src/frontend/block/session.rs
+++ b/src/frontend/block/session.rs
@@ -31,6 +31,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long a session without outstanding commands stays open after shutdown begins.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(200);
+/// Interval at which a session is looked at while the program shuts down.
+const SHUTDOWN_RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// The asynchronous event code that requests a logout, and the seconds within which the initiator must log out.
 const LOGOUT_REQUESTED: u8 = 1;
 const LOGOUT_SECONDS: u32 = 1;
@@ -39,6 +41,27 @@
 const CONNECTIONS_DROPPED: u8 = 3;
 const RECONNECT_SECONDS: u32 = 2;
 
+/// The moments of the program's shutdown for a session.
+#[derive(Clone, Copy, Debug)]
+struct SessionShutdown {
+    /// From this time on, the session ends as soon as no command is outstanding and none has arrived.
+    close_at: Instant,
+    /// From this time on, writes do not wait for data, and commands are answered at once.
+    requests_until: Instant,
+}
+
+impl SessionShutdown {
+    /// The shutdown of a session that has been asked to log out now.
+    fn new(requests_until: Instant) -> SessionShutdown {
+        SessionShutdown { close_at: (Instant::now() + SHUTDOWN_GRACE).min(requests_until), requests_until }
+    }
+
+    /// When the session has to be looked at again after `now`.
+    fn next_check(&self, now: Instant) -> Instant {
+        self.close_at.max(now + SHUTDOWN_RECHECK_INTERVAL)
+    }
+}
+
 /// An open session and its outstanding commands.
 struct Session<T> {
     frontend: Rc<BlockFrontend<T>>,
@@ -52,6 +75,8 @@
     running: JoinSet<Finished>,
     last_transfer_tag: u32,
     pinged: bool,
+    /// Set once the program shuts down.
+    shutdown: Option<SessionShutdown>,
 }
 
 /// Serves a connection until its session ends.
@@ -91,6 +116,7 @@
         running: JoinSet::new(),
         last_transfer_tag: 0,
         pinged: false,
+        shutdown: None,
     };
     let ended = session.run(&handle).await;
     // Dropping the session discards writes that wait for data and cancels running commands.
@@ -107,14 +133,16 @@
 impl<T: Transport + 'static> Session<T> {
     async fn run(&mut self, handle: &SessionHandle) -> Result<(), SessionError> {
         let mut closing = self.frontend.phases.closing();
-        let mut close_at: Option<Instant> = None;
         let mut last_received = Instant::now();
         let slot = self.slot.clone();
         loop {
             self.connection.mark_use(!self.tasks.is_empty());
+            if self.has_to_close() {
+                return Ok(());
+            }
             let idle_deadline = last_received + IDLE_TIMEOUT;
             let data_deadline = self.first_data_deadline();
-            let close_when_idle = close_at.filter(|_| self.tasks.is_empty());
+            let shutdown_check = self.shutdown.map(|shutdown| shutdown.next_check(Instant::now()));
             tokio::select! {
                 biased;
                 () = handle.replaced() => return Err(SessionError::Protocol("replaced by a new login")),
@@ -145,15 +173,22 @@
                     }
                     slot.decline_reclaim();
                 }
-                _ = closing.when_idle(), if close_at.is_none() => {
+                requests_until = closing.when_idle(), if self.shutdown.is_none() => {
                     self.ask_for_logout().await?;
-                    close_at = Some(Instant::now() + SHUTDOWN_GRACE);
+                    self.shutdown = Some(SessionShutdown::new(requests_until));
                 }
-                () = sleep_until(close_when_idle.unwrap_or(idle_deadline)), if close_when_idle.is_some() => return Ok(()),
+                () = sleep_until(shutdown_check.unwrap_or(idle_deadline)), if shutdown_check.is_some() => {}
             }
         }
     }
 
+    /// Whether the session ends since the program shuts down: all that has arrived is answered. Looked at before each event,
+    /// since an initiator that keeps sending leaves no other moment.
+    fn has_to_close(&self) -> bool {
+        let is_due = self.shutdown.is_some_and(|shutdown| Instant::now() >= shutdown.close_at);
+        is_due && self.tasks.is_empty() && !self.connection.has_unhandled_bytes()
+    }
+
     /// Returns whether the finished Tokio task `id` still belongs to the command with this tag. The result of an
     /// aborted command is discarded, even if the command completed just before the abort.
     fn is_running(&self, task: u32, id: Id) -> bool {
--- a/src/frontend/block/session/command.rs
+++ b/src/frontend/block/session/command.rs
@@ -189,7 +189,11 @@
             CommandResult::Good { data: Bytes::new(), transferred: length }
         }
         Answer::Served(content, request_guard) => {
-            let body = timeout_at(command.deadline, content.collect(length)).await.ok().flatten();
+            let body = tokio::select! {
+                biased;
+                body = timeout_at(command.deadline, content.collect(length)) => body.ok().flatten(),
+                () = frontend.dispatcher.shutdown_deadline_passed() => None,
+            };
             match body.filter(|data| data.len() == length) {
                 Some(data) => {
                     request_guard.finish(FinalOutcome::Served);
--- a/src/frontend/block/session/write_data.rs
+++ b/src/frontend/block/session/write_data.rs
@@ -72,20 +72,22 @@
         Ok(false)
     }
 
-    /// Returns the earliest deadline of the writes that wait for data.
+    /// Returns the earliest deadline of the writes that wait for data. None waits past the shutdown.
     pub(super) fn first_data_deadline(&self) -> Option<Instant> {
-        let receiving = self.tasks.values().filter_map(|task| match task {
-            Task::Receiving(transfer) => Some(transfer.command.deadline),
-            Task::Running(_) => None,
-        });
-        receiving.min()
+        self.tasks.values().filter_map(|task| self.data_deadline(task)).min()
+    }
+
+    /// Returns the deadline of a write that waits for data; `None` if the task does not.
+    fn data_deadline(&self, task: &Task) -> Option<Instant> {
+        let Task::Receiving(transfer) = task else { return None };
+        let deadline = transfer.command.deadline;
+        Some(self.shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.requests_until)))
     }
 
     /// Ends writes whose data did not arrive by their deadline; no request was sent for them.
     pub(super) async fn fail_overdue_writes(&mut self) -> Result<(), SessionError> {
         let now = Instant::now();
-        let is_overdue =
-            |task: &Task| matches!(task, Task::Receiving(write) if write.command.deadline <= now);
+        let is_overdue = |task: &Task| self.data_deadline(task).is_some_and(|deadline| deadline <= now);
         let overdue: Vec<u32> =
             self.tasks.iter().filter(|(_, task)| is_overdue(task)).map(|(tag, _)| *tag).collect();
         for task in overdue {
