--- a/tests/held_up_at_the_end.rs
+++ b/tests/held_up_at_the_end.rs
@@ -8,6 +8,8 @@
 use peers::lasting_clients::{ANSWER_SLACK, Exchange, HeadEnd, LastingClient};
 use peers::process_signals::{MAX_HOLD_UP, hold_up, kill_delay, send, sleep_until, terminate_held_up};
 use peers::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -251,6 +253,38 @@
     none_is_lost(&scenarios);
 }
 
+/// Heads of a fleet that end at once, and runs of CI.
+const FLEET: usize = 16;
+const CI_SEEDS: u64 = 2;
+
+/// Scenarios of a fleet from a seed.
+fn fleet(seed: u64) -> Vec<Scenario> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let deadlines_ms = [300, 500, 800, 1000, 1500, 2500, 3000, 6000];
+    let mut scenario = || {
+        let longest_deadline_ms = deadlines_ms[random.random_range(0..deadlines_ms.len())];
+        let is_held_up_later = random.random_bool(0.6);
+        let before_kill_ms = random.random_range(20..700);
+        Scenario {
+            longest_deadline: Duration::from_millis(longest_deadline_ms),
+            delays: Delays {
+                at_term: Duration::from_millis(random.random_range(0..150)),
+                before_kill: is_held_up_later.then(|| Duration::from_millis(before_kill_ms)),
+            },
+        }
+    };
+    (0..FLEET).map(|_| scenario()).collect()
+}
+
+/// Many heads at once, with longest deadlines and delays from a seed. `FLAXGAP_SOAK_SEEDS=FROM..TO` plays other seeds.
+#[test]
+fn a_fleet_that_ends_at_once_loses_no_request() {
+    for seed in soak_seeds(CI_SEEDS) {
+        println!("seed {seed}");
+        none_is_lost(&fleet(seed));
+    }
+}
+
 /// Guards against last answers that have no time for a delay before they are written.
 #[test]
 fn a_head_held_up_before_its_last_answers_loses_no_request() {
@@ -325,3 +359,30 @@
     });
     assert!(unanswered.is_empty(), "uploads without an answer: {unanswered:#?}");
 }
+
+/// Guards against a client that takes the end of the process for the end of its answer: to HTTP/1.0 an answer without a
+/// length ends with the connection.
+#[test]
+fn an_answer_without_a_length_is_not_taken_for_whole_at_the_end() {
+    let node = Brick::start(|_, _| {
+        let piece = |number: u32| format!("2000\r\n{}\r\n", format!("{number:04}").repeat(2048)).into_bytes();
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        let pieces = std::iter::once(head).chain((0..1000).map(piece)).collect();
+        Step::InPieces { pieces, pause: Duration::from_millis(20), closes: true }
+    });
+    let longest_deadline = Duration::from_secs(1);
+    let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
+    let mut head = Head::start_text(&configuration(&discovery, longest_deadline), None, &[]);
+    let mut client = Client::new(head.http);
+    let request = Client::request("play-fetch", "network", 1, longest_deadline.as_secs_f64(), 0);
+    client.send(&request.replace("HTTP/1.1", "HTTP/1.0"), b"");
+    node.wait_for(1);
+    let reader = thread::spawn(move || client.until_end());
+    let terminated_at = terminate_held_up(&head, MAX_HOLD_UP);
+    sleep_until(terminated_at + kill_delay(longest_deadline));
+    send(&head, Signal::SIGKILL);
+    head.wait_end();
+    let (answer, ended) = reader.join().expect("a client ends");
+    assert!(answer.starts_with(b"HTTP/1.0 200"), "it was being forwarded");
+    assert!(ended.is_err(), "{} bytes end like a whole answer", answer.len());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -250,6 +250,13 @@
     }
 }
 
+/// Seeds of a soak: those of `FLAXGAP_SOAK_SEEDS=FROM..TO`, or 1 to `of_ci`.
+pub fn soak_seeds(of_ci: u64) -> Vec<u64> {
+    let Ok(text) = std::env::var("FLAXGAP_SOAK_SEEDS") else { return (1..=of_ci).collect() };
+    let (from, to) = text.split_once("..").expect("FROM..TO");
+    (from.parse().expect("a seed")..to.parse().expect("a seed")).collect()
+}
+
 /// Formats a node's entry in the endpoint list.
 pub fn entry(uid: &str, address: SocketAddr, shard: u32, state: &str) -> String {
     format!(
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -577,15 +577,9 @@
     }
 }
 
-fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("FLAXGAP_SOAK_SEEDS") else { return (1..=CI_SEEDS).collect() };
-    let (from, to) = text.split_once("..").expect("FROM..TO");
-    (from.parse().expect("a seed")..to.parse().expect("a seed")).collect()
-}
-
 #[test]
 fn no_rule_is_broken_in_a_soak() {
-    let queue = Mutex::new(seeds());
+    let queue = Mutex::new(soak_seeds(CI_SEEDS));
     let failed = Mutex::new(Vec::new());
     thread::scope(|scope| {
         for _ in 0..RUNS_AT_ONCE {
