--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -6,16 +6,14 @@
 use super::DaemonError;
 use super::signal_age::earliest_sending;
 use crate::metrics::event_loop::TurnLog;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Most signals that wait to be handled. The operating system merges signals of a kind that are not received yet.
-const MAX_PENDING_SIGNALS: usize = 16;
-
 /// The action that a signal requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SignalCommand {
@@ -46,11 +44,38 @@
     hangup: Signal,
     user_defined_1: Signal,
     turns: Rc<TurnLog>,
-    noticed: mpsc::Sender<NoticedSignal>,
+    noticed: Rc<PendingSignals>,
 }
 
-/// The signals that the process has noticed, in order.
-pub(super) struct NoticedSignals(mpsc::Receiver<NoticedSignal>);
+/// Noticed signals that are not handled yet, one of each command: as the operating system does, later ones are merged with
+/// the first.
+#[derive(Default)]
+struct PendingSignals {
+    shutdown: Cell<Option<NoticedSignal>>,
+    reload: Cell<Option<NoticedSignal>>,
+    log_counters: Cell<Option<NoticedSignal>>,
+    added: Notify,
+}
+
+impl PendingSignals {
+    fn add(&self, signal: NoticedSignal) {
+        let pending = match signal.command {
+            SignalCommand::Shutdown => &self.shutdown,
+            SignalCommand::Reload => &self.reload,
+            SignalCommand::LogCounters => &self.log_counters,
+        };
+        pending.set(pending.get().or(Some(signal)));
+        self.added.notify_one();
+    }
+
+    /// Removes the next signal to handle, a shutdown before all others.
+    fn take(&self) -> Option<NoticedSignal> {
+        [&self.shutdown, &self.reload, &self.log_counters].into_iter().find_map(Cell::take)
+    }
+}
+
+/// The signals that the process has noticed.
+pub(super) struct NoticedSignals(Rc<PendingSignals>);
 
 impl Signals {
     /// Installs the handlers. Must run inside a tokio runtime, whose event loop writes `turns`.
@@ -60,16 +85,16 @@
     /// [`DaemonError::Signals`] if a handler can't be installed.
     pub(super) fn install(turns: Rc<TurnLog>) -> Result<(Signals, NoticedSignals), DaemonError> {
         let install = |kind| signal(kind).map_err(DaemonError::Signals);
-        let (sender, receiver) = mpsc::channel(MAX_PENDING_SIGNALS);
+        let pending: Rc<PendingSignals> = Rc::default();
         let signals = Signals {
             terminate: install(SignalKind::terminate())?,
             interrupt: install(SignalKind::interrupt())?,
             hangup: install(SignalKind::hangup())?,
             user_defined_1: install(SignalKind::user_defined1())?,
             turns,
-            noticed: sender,
+            noticed: pending.clone(),
         };
-        Ok((signals, NoticedSignals(receiver)))
+        Ok((signals, NoticedSignals(pending)))
     }
 
     /// Runs `program` and notices signals meanwhile. Must be the main future of the event loop.
@@ -92,9 +117,7 @@
                 "daemon: signal noticed, command={command:?} sent_within={:?}",
                 noticed_at - earliest_sent_at
             );
-            if let Err(error) = self.noticed.try_send(signal) {
-                log::warn!("daemon: signal not handled, command={command:?}: {error}");
-            }
+            self.noticed.add(signal);
         }
     }
 
@@ -113,10 +136,14 @@
 impl NoticedSignals {
     /// Waits for the next signal.
     pub(super) async fn next(&mut self) -> NoticedSignal {
-        match self.0.recv().await {
-            Some(signal) => signal,
-            // Unreachable: the signals are watched for as long as the program runs.
-            None => std::future::pending().await,
+        loop {
+            if let Some(signal) = self.0.take() {
+                return signal;
+            }
+            self.0.added.notified().await;
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
