--- a/tests/held_up_at_the_end.rs
+++ b/tests/held_up_at_the_end.rs
@@ -13,7 +13,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,6 +24,14 @@
 /// How long the clients send before SIGTERM.
 const SERVICE_TIME: Duration = Duration::from_millis(700);
 
+/// Held by the test that plays: the heads of several would measure the machine.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Waits for the turn of a test.
+fn turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A node of which every second request hangs, and the ids that it has seen.
 struct HalfHangingNode {
     node: Brick,
@@ -185,6 +193,7 @@
 /// with a fifth of a core, held up at SIGTERM and again as they are due.
 #[test]
 fn a_head_with_part_of_a_core_answers_all_that_it_has_in_hand() {
+    let _turn = turn();
     let longest_deadline = Duration::from_secs(6);
     let node = Brick::start(|_, _| Step::Silent);
     let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
@@ -243,6 +252,7 @@
 /// Guards against an end that is counted from when SIGTERM was noticed: SIGKILL is counted from when it was sent.
 #[test]
 fn a_head_held_up_at_sigterm_loses_no_request() {
+    let _turn = turn();
     let mut scenarios = Vec::new();
     for longest_deadline in [500, 1000, 2000, 6000].map(Duration::from_millis) {
         for at_term in [50, 100, 150].map(Duration::from_millis) {
@@ -279,6 +289,7 @@
 /// Many heads at once, with longest deadlines and delays from a seed. `FLAXGAP_SOAK_SEEDS=FROM..TO` plays other seeds.
 #[test]
 fn a_fleet_that_ends_at_once_loses_no_request() {
+    let _turn = turn();
     for seed in soak_seeds(CI_SEEDS) {
         println!("seed {seed}");
         none_is_lost(&fleet(seed));
@@ -288,6 +299,7 @@
 /// Guards against last answers that have no time for a delay before they are written.
 #[test]
 fn a_head_held_up_before_its_last_answers_loses_no_request() {
+    let _turn = turn();
     let mut scenarios = Vec::new();
     for at_term in [Duration::ZERO, MAX_HOLD_UP] {
         for before_kill_ms in [600, 500, 450, 400, 350, 300, 250, 200, 150, 120] {
@@ -341,6 +353,7 @@
 /// Guards against an upload that is waited for past the end of the process: its last byte may come at any moment.
 #[test]
 fn an_upload_whose_last_byte_comes_near_the_end_is_answered() {
+    let _turn = turn();
     let lengths = [2000, 400_000];
     let moments = [900, 500, 300, 200, 100, 40].map(Duration::from_millis);
     let uploads: Vec<SlowUpload> = lengths
@@ -364,6 +377,7 @@
 /// length ends with the connection.
 #[test]
 fn an_answer_without_a_length_is_not_taken_for_whole_at_the_end() {
+    let _turn = turn();
     let node = Brick::start(|_, _| {
         let piece = |number: u32| format!("2000\r\n{}\r\n", format!("{number:04}").repeat(2048)).into_bytes();
         let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
--- a/tests/other_frontends_at_the_end.rs
+++ b/tests/other_frontends_at_the_end.rs
@@ -13,8 +13,8 @@
 use peers::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -186,8 +186,12 @@
     total
 }
 
+/// Held by the test that plays: the heads of several would measure the machine.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 /// Plays heads that are held up at different moments, all at once.
 fn none_is_lost(play: impl Fn(Duration) -> Outcome + Sync) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let outcomes: Vec<Outcome> = thread::scope(|scope| {
         let play = &play;
         let heads = HELD_UP_BEFORE_KILL_MS.map(|ms| scope.spawn(move || play(Duration::from_millis(ms))));
