Handover kills: whether a killed process served is read from its socket, not from its log

Cause: a_newer_process_killed_at_any_message_leaves_the_older_one_in_service failed once in a whole run: the newer process had said ready and taken its place (the older one logged both and listened again), and was killed before its log had the line that the test looks for. The test then put the name of a closed socket back, and the third process found nobody. Change: the test asks whether the relay's name still leads to the relay's socket (its inode), which is kept until then. All that is demanded of the survivor stays.

--- a/tests/kills_handover.rs
+++ b/tests/kills_handover.rs
@@ -15,6 +15,7 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -182,6 +183,8 @@
     wait(|| path.exists().then_some(()));
     std::fs::rename(&path, &aside).expect("renamed");
     let listener = UnixListener::bind(&path).expect("a socket");
+    let inode_at_path = || std::fs::metadata(&path).map(|metadata| metadata.ino()).ok();
+    let relay_inode = inode_at_path();
 
     let mut in_flight = Client::new(older.http);
     in_flight.send(&read().replacen(" HTTP", "?slow HTTP", 1), b"");
@@ -215,7 +218,6 @@
         // Ends the relay.
         kill(pids(kill_at.who));
     });
-    drop(listener);
     let survivor = match kill_at.who {
         Killed::Newer => &older,
         Killed::Older => {
@@ -230,8 +232,12 @@
         let last = log.iter().rfind(|line| line.contains("of the head's share"));
         last.is_none_or(|line| line.contains("has 1 of")).then_some(())
     });
-    // Where the newer one never served, the relay's name is put back to whose it was.
-    if kill_at.who == Killed::Newer && newer_never_served(&newer) {
+    // Where the newer one never served, its socket has not taken the relay's name, which is put back to whose it was. Its log
+    // does not tell: a kill takes the last lines with it.
+    let newer_never_served = inode_at_path() == relay_inode;
+    // Only now, so that its inode is given to no other socket before.
+    drop(listener);
+    if kill_at.who == Killed::Newer && newer_never_served {
         std::fs::rename(&aside, &path).expect("renamed");
     } else {
         _ = std::fs::remove_file(&aside);
@@ -242,7 +248,7 @@
         .filter(|name| name.ends_with(".new") || name.contains("draft"))
         .collect();
     assert!(left.is_empty(), "{what}: {left:?}");
-    if kill_at.who == Killed::Newer && !newer_never_served(&newer) {
+    if kill_at.who == Killed::Newer && !newer_never_served {
         wait(|| survivor.logged("listening for a newer process again"));
     }
     let handovers_before = handovers(survivor);
@@ -261,11 +267,6 @@
     head.log().iter().filter(|line| line.contains("the newer process is in service")).count()
 }
 
-/// Whether the newer process was killed before it took the place of the older one's socket.
-fn newer_never_served(newer: &Head) -> bool {
-    newer.logged("daemon: Ready").is_none()
-}
-
 /// Kills of one of the processes, each in both, at the connection and at a message before and after it is passed on.
 fn kills(who: Killed, messages: &[&'static str]) {
     if messages.is_empty() {
