Clients that read a long answer slowly are no longer taken for ones that stopped

Cause: the limit of 10 s ran for as long as the socket took no bytes. The system calls a socket writable only once a third of its send buffer is free, so with 4 MB in it a client at 64 kB/s needs some 20 s for that and reads all the time.

Evidence: at the close the log shows now what was written and acknowledged, and when last. A client that has stopped shows written=3944692 acknowledged=126527 and no progress; one at 64 kB/s goes on acknowledging.

Change: whether a client has stopped is told by the bytes that its system acknowledges (TCP_INFO), looked at every 0.5 s while the socket is blocked; below 16 kB/s over 10 s it is reset, and no longer closed in an orderly way, which passes for the end of an answer without a length. If the system does not tell, the wait is 22 s longer. This works since acknowledged bytes advance with the reading, in steps of at most a sixteenth of the peer's buffer.

--- a/src/action_rules.rs
+++ b/src/action_rules.rs
@@ -5,6 +5,8 @@
 //! [`Violation`], which is counted and must never occur: the head may have been held up for longer than the platform's
 //! terms allow, or a decision is wrong.
 
+pub mod send_stall;
+
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -234,6 +234,14 @@
                     timeout.as_mut().reset(timeout_at);
                 },
                 () = timeout.as_mut(), if state.timeout_at().is_some() => {
+                    if state.is_send_blocked() {
+                        if state.check_reading().is_err() {
+                            // The client must not take the end of the connection for the end of its answer.
+                            break CloseReason::AnswerBroken;
+                        }
+                        timeout.as_mut().reset(state.timeout_at().unwrap_or(opened_at));
+                        continue;
+                    }
                     if !state.is_idle() && !state.is_unused() {
                         break CloseReason::Done;
                     }
--- a/src/frontend/intake/connection_state.rs
+++ b/src/frontend/intake/connection_state.rs
@@ -6,6 +6,7 @@
 use crate::metrics::counters::Counters;
 use crate::resources::arrivals::{ConnectionArrivals, RequestArrival};
 use crate::resources::descriptors::ClientSlot;
+use crate::resources::reading_watch::{ReadingWatch, StoppedReading};
 use crate::resources::socket;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -26,7 +27,7 @@
 const SLOW_REQUEST_GRACE: Duration = Duration::from_millis(2700);
 /// The part of [`SLOW_REQUEST_GRACE`] that is left for the body at least, from the end of the head.
 const MIN_BODY_GRACE: Duration = Duration::from_millis(1500);
-/// Time-out of a client that does not read its answer.
+/// Time-out of a client that has stopped reading its answer.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time-out of a connection without a request.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_millis(2100);
@@ -74,8 +75,10 @@
     current_request: Cell<CurrentRequest>,
     /// A part of an answer may not be written to the socket yet.
     unflushed: Cell<bool>,
-    /// Since when the socket has not been writable, as the client does not read.
-    unread_since: Cell<Option<Instant>>,
+    /// Whether the client goes on reading while the socket takes no more bytes.
+    reading: ReadingWatch,
+    /// Number of bytes that the socket has taken.
+    written_bytes: Cell<u64>,
     /// The connection has to close as soon as it is idle.
     close_requested: Cell<bool>,
     /// The client speaks HTTP/2.
@@ -107,7 +110,8 @@
             next_request: Cell::new(NextRequest::First),
             current_request: Cell::new(CurrentRequest::None),
             unflushed: Cell::new(false),
-            unread_since: Cell::new(None),
+            reading: ReadingWatch::new(UNREAD_TIMEOUT),
+            written_bytes: Cell::new(0),
             close_requested: Cell::new(false),
             speaks_http2: Cell::new(false),
             request_began: Cell::new(now),
@@ -117,11 +121,11 @@
         })
     }
 
-    /// Returns when the connection times out. While a request is served or its answer is sent, it times out only if the
-    /// client does not read.
+    /// Returns when the connection times out or has to be looked at. While a request is served or its answer is sent, it
+    /// times out only if the client has stopped reading ([`check_reading`](Self::check_reading)).
     pub fn timeout_at(&self) -> Option<Instant> {
-        if let Some(unread_since) = self.unread_since.get() {
-            return Some(unread_since + UNREAD_TIMEOUT);
+        if let Some(next_look) = self.reading.next_look() {
+            return Some(next_look);
         }
         if self.is_serving() || self.unflushed.get() {
             return None;
@@ -175,7 +179,29 @@
     pub fn is_sending_answer(&self) -> bool {
         let is_begun =
             matches!(self.current_request.get(), CurrentRequest::Serving { answer_begun: true, .. });
-        is_begun || self.unread_since.get().is_some()
+        is_begun || self.is_send_blocked()
+    }
+
+    /// Whether the socket takes no more bytes of an answer until the client reads.
+    pub fn is_send_blocked(&self) -> bool {
+        self.reading.is_blocked()
+    }
+
+    /// Looks at a connection whose socket takes no more bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`StoppedReading`] if its client has stopped reading.
+    pub fn check_reading(&self) -> Result<(), StoppedReading> {
+        let reading = self.reading.look(&*self.stream);
+        if let Err(stopped) = &reading {
+            self.counters.stalled_readers.add();
+            if self.counters.stall_log.is_due() {
+                let written = self.written_bytes.get();
+                log::info!("http: client stopped reading its answer, written={written} {stopped}");
+            }
+        }
+        reading
     }
 
     /// Whether the client has stopped in the middle of a request body, and the request has no answer yet.
@@ -412,15 +438,22 @@
         }
     }
 
-    /// Notes whether the socket is writable. It is not while its send buffer is full, as the client does not read.
+    /// Notes whether the socket takes bytes. It does not while its send buffer is full.
     pub(super) fn writable_changed(&self, is_writable: bool) {
-        let unread_since = match is_writable {
-            true => None,
-            false => Some(self.unread_since.get().unwrap_or_else(Instant::now)),
-        };
-        if self.unread_since.replace(unread_since) != unread_since {
-            self.changed.notify_one();
+        if is_writable != self.is_send_blocked() {
+            return;
         }
+        if is_writable {
+            self.reading.unblocked();
+        } else {
+            self.reading.blocked();
+        }
+        self.changed.notify_one();
+    }
+
+    /// The socket has taken bytes of an answer.
+    pub(super) fn bytes_written(&self, count: usize) {
+        self.written_bytes.set(self.written_bytes.get() + count as u64);
     }
 }
 
--- a/src/frontend/intake/reader.rs
+++ b/src/frontend/intake/reader.rs
@@ -308,7 +308,11 @@
             let ready = state.stream.poll_write_ready(cx);
             state.writable_changed(ready.is_ready());
             ready!(ready)?;
-            Poll::Ready(send(&state.stream))
+            let sent = send(&state.stream);
+            if let Ok(count) = sent {
+                state.bytes_written(count);
+            }
+            Poll::Ready(sent)
         })
     }
 }
--- a/src/metrics/counters.rs
+++ b/src/metrics/counters.rs
@@ -119,6 +119,8 @@
             pub longest_turn: LongestTurn,
             /// Limits the log lines on clients that pipeline too many bytes.
             pub flood_log: LogInterval,
+            /// Limits the log lines on clients that have stopped reading.
+            pub stall_log: LogInterval,
             classes: Vec<ClassCounters>,
         }
 
@@ -238,6 +240,8 @@
     floods,
     /// Client connections reset because a response ended before its body was complete.
     broken_off,
+    /// Client connections of HTTP/1.1 and of the block frontend closed because the client stopped reading.
+    stalled_readers,
     /// Connections of the HTTP/2 frontend.
     http2_connections,
     /// HTTP/2 streams accepted.
--- a/src/resources/mod.rs
+++ b/src/resources/mod.rs
@@ -6,6 +6,7 @@
 pub mod descriptors;
 pub mod listening_socket;
 pub mod memory;
+pub mod reading_watch;
 pub mod repeat;
 pub mod socket;
 pub mod tcp_info;
--- a/src/resources/tcp_info.rs
+++ b/src/resources/tcp_info.rs
@@ -1,5 +1,5 @@
-//! What the system tells of a TCP socket (`TCP_INFO`, tcp(7)): how long ago the latest bytes arrived, and the length of
-//! an accept queue. Both are unknown where the system does not support the option.
+//! What the system tells of a TCP socket (`TCP_INFO`, tcp(7)): how long ago the latest bytes arrived, how many bytes the
+//! peer has acknowledged, and the length of an accept queue. All are unknown where the system does not support the option.
 
 use nix::sys::socket::getsockopt;
 use nix::{getsockopt_impl, sockopt_impl};
@@ -27,6 +27,12 @@
     Some(Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
 }
 
+/// Number of bytes that the peer's system has acknowledged since the connection was established; `None` if the system does
+/// not tell.
+pub fn acknowledged_bytes(connection: &impl AsFd) -> Option<u64> {
+    Some(tcp_info(connection)?.tcpi_bytes_acked)
+}
+
 /// Number of connections in the accept queue of a listening socket; `None` if the system does not tell.
 pub fn queue_length(listener: &impl AsFd) -> Option<usize> {
     let info = tcp_info(listener)?;
