HTTP/2 streams of a client that reads slowly are sent to their ends, and take turns

Callers saw: answers over HTTP/2 were reset although their client read all the time. Six answers of 2 MB on one connection, read at 64 kB/s: five were reset, after 16,384, 386,004, 688,084, 576,468 and 386,004 bytes, and one was whole.

And the streams raced for the gate that opens when h2 has written its buffer: the one that had just sent was the first to ask again, so the limit also ran while others had the gate. The counts above show it: one stream had 16 KiB, another 2 MB.

Change: a blocked connection is watched by what the client acknowledges. Streams get the gate in the order in which they ask, 16 KiB at a time. A wait for a window that others of the connection use up is no stall while they are sent, up to a turn of each. Both faults are mended here, as each hides the other in the test.

--- a/src/frontend/closing.rs
+++ b/src/frontend/closing.rs
@@ -167,6 +167,11 @@
         &self.socket
     }
 
+    /// The socket, for an owner that outlives this handle.
+    pub fn shared_socket(&self) -> Rc<TcpStream> {
+        self.socket.clone()
+    }
+
     /// When the bytes arrived.
     pub fn arrivals(&self) -> Rc<ConnectionArrivals> {
         self.arrivals.clone()
--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -100,7 +100,8 @@
         return done;
     };
     let guard = FrameGuard::new(FrameBudgets::new(frontend.settings.frame_limits, 0.0), opened_at);
-    let send_gate: Rc<SendGate> = Rc::default();
+    let stall_timeout = seconds(frontend.settings.stall_timeout_s);
+    let send_gate = Rc::new(SendGate::new(stream.shared_socket(), stall_timeout));
     let arrivals = stream.arrivals();
     let inspected = InspectedStream { stream, guard: guard.clone(), send_gate: send_gate.clone() };
     let library = match timeout(
--- a/src/frontend/http2/frame_guard.rs
+++ b/src/frontend/http2/frame_guard.rs
@@ -125,8 +125,9 @@
 impl AsyncWrite for InspectedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if written.is_pending() {
-            self.send_gate.blocked();
+        match written {
+            Poll::Pending => self.send_gate.blocked(),
+            Poll::Ready(_) => self.send_gate.bytes_written(),
         }
         written
     }
--- a/src/frontend/http2/stream.rs
+++ b/src/frontend/http2/stream.rs
@@ -7,6 +7,7 @@
 use crate::frontend::request::{RequestInfo, ResponseBody};
 use crate::resources::admission::{Overload, RequestPermit};
 use crate::resources::arrivals::{ConnectionArrivals, RequestArrival};
+use crate::resources::reading_watch::StoppedReading;
 use bytes::{Buf, Bytes};
 use flaxgap_streams::admission::{Connection, RefusalReason};
 use h2::server::SendResponse;
@@ -22,24 +23,45 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 /// Time that a request body may take beyond its transfer at the minimum rate, as on the HTTP/1.1 frontend.
 const BODY_GRACE: Duration = Duration::from_millis(2500);
 
+/// Most bytes that a stream sends before others of its connection have their turn.
+const MAX_TURN_BYTES: usize = 16 * 1024;
+
+/// How long a stream may wait for its client.
+#[derive(Clone, Copy, Debug)]
+struct SendLimits {
+    /// Time in which a client has to grant a window for the stream, or another one of its connection.
+    stall_timeout: Duration,
+    /// Most bytes that other streams of the connection may send meanwhile: one turn each.
+    max_passed_by_others: u64,
+}
+
 /// Why a stream's answer was not sent completely.
 #[derive(Debug, Error)]
 enum StreamError {
     #[error("reset by the client")]
     Reset,
-    #[error("the client does not read its answer")]
-    Stalled,
+    #[error("the client stopped reading, {0}")]
+    StoppedReading(#[from] StoppedReading),
+    #[error("the client grants no window")]
+    NoWindow,
     #[error("the node's answer ended early")]
     AnswerIncomplete,
     #[error("{0}")]
     Protocol(#[from] h2::Error),
 }
 
+impl StreamError {
+    /// Whether the client was too slow.
+    fn is_stall(&self) -> bool {
+        matches!(self, StreamError::StoppedReading(_) | StreamError::NoWindow)
+    }
+}
+
 /// An admitted stream. When dropped, it is removed from admission and the task of its connection is notified.
 struct AdmittedStream<T> {
     frontend: Rc<Http2Frontend<T>>,
@@ -100,8 +122,11 @@
             Ok(()) => {}
             Err(StreamError::Reset) => counters.http2_resets.add(),
             Err(error) => {
-                if matches!(error, StreamError::Stalled) {
+                if error.is_stall() {
                     counters.http2_stalled.add();
+                    if counters.stall_log.is_due() {
+                        log::info!("http2: stream reset, {error}");
+                    }
                 }
                 log::debug!("http2: stream: {error}");
             }
@@ -167,8 +192,12 @@
     let is_empty = body.is_end_stream();
     let mut send = respond.send_response(Response::from_parts(head, ()), is_empty)?;
     if !is_empty {
-        let stall_timeout = seconds(frontend.settings.stall_timeout_s);
-        send_body(&mut body, &mut send, send_gate, stall_timeout).await?;
+        let max_streams = frontend.settings.max_streams_per_connection as u64;
+        let limits = SendLimits {
+            stall_timeout: seconds(frontend.settings.stall_timeout_s),
+            max_passed_by_others: max_streams * MAX_TURN_BYTES as u64,
+        };
+        send_body(&mut body, &mut send, send_gate, limits).await?;
     }
     Ok(())
 }
@@ -195,7 +224,7 @@
     body: &mut ResponseBody,
     send: &mut SendStream<Bytes>,
     send_gate: &SendGate,
-    stall_timeout: Duration,
+    limits: SendLimits,
 ) -> Result<(), StreamError> {
     loop {
         let frame = tokio::select! {
@@ -204,7 +233,7 @@
             frame = body.frame() => frame,
         };
         match frame.map(|frame| frame.map(Frame::into_data)) {
-            Some(Ok(Ok(data))) => send_data(data, send, send_gate, stall_timeout).await?,
+            Some(Ok(Ok(data))) => send_data(data, send, send_gate, limits).await?,
             // Trailers are not forwarded.
             Some(Ok(Err(_))) => {}
             Some(Err(_)) => {
@@ -219,32 +248,63 @@
     }
 }
 
-/// Sends bytes as the client's flow-control window and the gate of the connection allow. Resets the stream if one of
-/// them stays closed for `stall_timeout`.
+/// Sends bytes as the client's flow-control window and the gate of the connection allow. Resets the stream if the client
+/// has stopped reading.
 async fn send_data(
     mut data: Bytes,
     send: &mut SendStream<Bytes>,
     send_gate: &SendGate,
-    stall_timeout: Duration,
+    limits: SendLimits,
 ) -> Result<(), StreamError> {
     while data.has_remaining() {
-        send.reserve_capacity(data.len());
-        let capacity = async {
+        let wanted = data.len().min(MAX_TURN_BYTES);
+        send.reserve_capacity(wanted);
+        let sendable = async {
+            wait_capacity(send, send_gate, limits).await?;
             tokio::select! {
                 biased;
-                _ = poll_fn(|cx| send.poll_reset(cx)) => return Err(StreamError::Reset),
-                () = send_gate.wait_open() => {}
+                _ = poll_fn(|cx| send.poll_reset(cx)) => Err(StreamError::Reset),
+                opened = send_gate.wait_open() => Ok(opened?),
             }
-            poll_fn(|cx| poll_capacity(send, cx)).await
         };
-        let Ok(capacity) = timeout(stall_timeout, capacity).await else {
-            send.send_reset(Reason::CANCEL);
-            return Err(StreamError::Stalled);
+        let turn = match sendable.await {
+            Err(error) if error.is_stall() => {
+                send.send_reset(Reason::CANCEL);
+                return Err(error);
+            }
+            sendable => sendable?,
         };
-        let capacity = capacity?.transpose()?.unwrap_or(0).min(data.len());
-        if capacity > 0 {
-            send_gate.bytes_passed(capacity);
-            send.send_data(data.split_to(capacity), false)?;
+        // The client may have reduced its window while the stream waited for its turn.
+        let count = send.capacity().min(wanted);
+        if count > 0 {
+            send_gate.bytes_passed(count);
+            send.send_data(data.split_to(count), false)?;
+        }
+        drop(turn);
+    }
+    Ok(())
+}
+
+/// Waits until the client's windows allow bytes to be sent. A stream may wait for others that share the window of the
+/// connection, for as long as they are sent and are not ahead of it more than once.
+async fn wait_capacity(
+    send: &mut SendStream<Bytes>,
+    send_gate: &SendGate,
+    limits: SendLimits,
+) -> Result<(), StreamError> {
+    let began_at = Instant::now();
+    let passed_at_first = send_gate.passed_bytes();
+    while send.capacity() == 0 {
+        let waits_until = began_at.max(send_gate.passed_at()) + limits.stall_timeout;
+        let capacity = timeout_at(waits_until, poll_fn(|cx| poll_capacity(send, cx))).await;
+        if let Ok(capacity) = capacity {
+            capacity?.ok_or(StreamError::Reset)??;
+            continue;
+        }
+        let have_others_stopped = send_gate.passed_at() + limits.stall_timeout <= Instant::now();
+        let passed_by_others = send_gate.passed_bytes() - passed_at_first;
+        if have_others_stopped || passed_by_others > limits.max_passed_by_others {
+            return Err(StreamError::NoWindow);
         }
     }
     Ok(())
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -5,8 +5,11 @@
 
 mod peers;
 
+use flaxgap_streams::frames::{PREFACE, flag, kind};
+use peers::frames;
 use peers::usual_clients::UsualClients;
 use peers::*;
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
@@ -19,6 +22,8 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which an answer fills the buffers of both systems, and between two looks of the head.
 const FILLING_TIME: Duration = Duration::from_secs(2);
+/// Rate of the slowest clients, in bytes per second.
+const SLOW_RATE: u32 = 64_000;
 const MEGABYTE: usize = 1_000_000;
 
 /// A node whose answers are as long as the number after `?` in the path says, in megabytes; others are short.
@@ -161,3 +166,159 @@
         assert!(client.read_to_end(&mut Vec::new()).is_err(), "reset");
     }
 }
+
+/// What a server has sent over HTTP/2.
+#[derive(Debug, Default)]
+struct Received {
+    /// Bytes that are no whole frame yet.
+    partial: Vec<u8>,
+    /// Number of bytes of data, by stream.
+    data: BTreeMap<u32, usize>,
+    /// Streams whose answers are whole.
+    ended: Vec<u32>,
+    /// Streams that the server has reset.
+    reset: Vec<u32>,
+}
+
+impl Received {
+    /// Reads further frames; returns the length of the data that each stream got.
+    fn read(&mut self, bytes: &[u8]) -> Vec<(u32, usize)> {
+        const HEADER_LENGTH: usize = 9;
+        self.partial.extend_from_slice(bytes);
+        let mut got = Vec::new();
+        let mut place = 0;
+        while let Some(header) = self.partial.get(place..place + HEADER_LENGTH) {
+            let length = u32::from_be_bytes([0, header[0], header[1], header[2]]) as usize;
+            let (kind, flags) = (header[3], header[4]);
+            let stream = u32::from_be_bytes([header[5], header[6], header[7], header[8]]);
+            if self.partial.len() < place + HEADER_LENGTH + length {
+                break;
+            }
+            place += HEADER_LENGTH + length;
+            match kind {
+                kind::DATA => {
+                    *self.data.entry(stream).or_default() += length;
+                    got.push((stream, length));
+                    if flags & flag::END_STREAM != 0 {
+                        self.ended.push(stream);
+                    }
+                }
+                kind::RST_STREAM => self.reset.push(stream),
+                _ => {}
+            }
+        }
+        self.partial.drain(..place);
+        got
+    }
+}
+
+/// What windows a client of HTTP/2 grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Windows {
+    /// As large as the protocol allows, so that the connection alone holds back the answers.
+    Largest,
+    /// Those of the protocol's defaults, granted again as the data are read, so that the streams share 64 KiB.
+    Default,
+}
+
+impl Windows {
+    /// What a client with these windows sends first.
+    fn beginning(self) -> Vec<u8> {
+        const INITIAL_WINDOW_SIZE: u16 = 4;
+        const MAX_WINDOW: u32 = i32::MAX as u32;
+        const DEFAULT_WINDOW: u32 = 65_535;
+        let settings = match self {
+            Windows::Largest => frames::settings(&[(INITIAL_WINDOW_SIZE, MAX_WINDOW)]),
+            Windows::Default => frames::settings(&[]),
+        };
+        let window = match self {
+            Windows::Largest => frames::update(0, MAX_WINDOW - DEFAULT_WINDOW),
+            Windows::Default => Vec::new(),
+        };
+        [PREFACE, &settings, &window].concat()
+    }
+}
+
+/// Starts a head that serves HTTP/2 at the returned address. `name` tells its file from those of other tests.
+fn start_http2(node: &Brick, name: &str) -> (Discovery, Head, SocketAddr) {
+    let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
+    let path = std::env::temp_dir().join(format!("flaxgap-slow-readers-{}-{name}", std::process::id()));
+    std::fs::write(&path, "[http2]\nlisten = \"127.0.0.1:0\"\n").expect("written");
+    let head = Head::start(&discovery, None, &[("FLAXGAP_OPS", path.to_str().expect("a path"))]);
+    let address = head.address("http2: listening on ");
+    std::fs::remove_file(path).expect("removed");
+    (discovery, head, address)
+}
+
+/// Reads several answers on one connection at 64 kB/s for [`SLOW_TIME`], then at full speed. All have to be whole.
+fn read_streams_slowly(windows: Windows) {
+    const STREAMS: [u32; 6] = [1, 3, 5, 7, 9, 11];
+    const ANSWER_MB: usize = 2;
+    const PIECE: usize = 6_400;
+    let node = node();
+    let (_discovery, head, address) = start_http2(&node, &format!("{windows:?}"));
+    let mut stream = Pace::new(64 << 10, PIECE, 100).connect(address);
+    stream.write_all(&windows.beginning()).expect("sent");
+    for number in STREAMS {
+        stream.write_all(&frames::read_of(number, &ANSWER_MB.to_string())).expect("sent");
+    }
+    let mut received = Received::default();
+    let mut bytes = vec![0; MEGABYTE];
+    let began = Instant::now();
+    while received.ended.len() < STREAMS.len() && received.reset.is_empty() {
+        let is_slow = began.elapsed() < SLOW_TIME;
+        let wanted = if is_slow { PIECE } else { bytes.len() };
+        let count = stream.read(&mut bytes[..wanted]).unwrap_or(0);
+        assert!(count > 0, "the connection has ended: {:?}", received.data);
+        for (number, length) in received.read(&bytes[..count]) {
+            if windows == Windows::Default && length > 0 {
+                let more = length as u32;
+                let updates = [frames::update(0, more), frames::update(number, more)].concat();
+                stream.write_all(&updates).expect("sent");
+            }
+        }
+        if is_slow {
+            thread::sleep(Duration::from_secs(1) * count as u32 / SLOW_RATE);
+        }
+    }
+    assert_eq!(received.reset, [0; 0], "{:?}", received.data);
+    let is_whole = |length: &usize| *length == ANSWER_MB * MEGABYTE;
+    assert!(received.data.values().all(is_whole), "{:?}", received.data);
+    assert_eq!(head.counter("http2_stalled"), 0);
+}
+
+/// Guards against the same over HTTP/2, where several answers share a connection: none is reset because the socket takes
+/// no bytes, or because others have the turn.
+#[test]
+fn streams_of_a_client_that_reads_slowly_are_all_sent_to_their_ends() {
+    read_streams_slowly(Windows::Largest);
+}
+
+/// Guards against a stream that is reset since the others of its connection use up the window that they share.
+#[test]
+fn streams_that_share_a_small_window_are_all_sent_to_their_ends() {
+    read_streams_slowly(Windows::Default);
+}
+
+/// Guards against the mend of the tests above: the streams of a client that reads nothing, or grants no window, are reset
+/// as soon as before, and the connections to their nodes are given back.
+#[test]
+fn streams_of_a_client_that_has_stopped_are_reset_in_time() {
+    const STREAMS: [u32; 3] = [1, 3, 5];
+    let node = node();
+    let (_discovery, head, address) = start_http2(&node, "stopped");
+    let clients = [Windows::Largest, Windows::Default].map(|windows| {
+        let mut stream = Pace::new(64 << 10, 0, 0).connect(address);
+        stream.write_all(&windows.beginning()).expect("sent");
+        for number in STREAMS {
+            stream.write_all(&frames::read_of(number, "12")).expect("sent");
+        }
+        stream
+    });
+    let began = Instant::now();
+    let stopped_streams = (clients.len() * STREAMS.len()) as u64;
+    wait(|| (head.counter("http2_stalled") == stopped_streams).then_some(()));
+    let took = began.elapsed();
+    assert!(took < STALL_TIMEOUT + FILLING_TIME, "{took:?}");
+    wait(|| (head.counter("in_flight") == 0 && head.counter("slots_node") == 0).then_some(()));
+}
