Block sessions of initiators that read slowly go on

Callers saw: an initiator that reads at 64 kB/s loses its session when the data of a read lie behind megabytes of earlier ones.

Cause: the whole of a write had 10 s, with no sign of progress; the socket takes bytes again only once a third of its buffer is free, which takes some 20 s at that rate.

Change: each write is watched by what the initiator acknowledges, as the other frontends' are.

Test: an_initiator_that_reads_slowly_gets_the_data_of_all_its_reads (128 reads of 64 KiB asked for at once). Another test asks that the session of one that has stopped ends within 12 s of its reads.

--- a/src/frontend/block/connection.rs
+++ b/src/frontend/block/connection.rs
@@ -5,16 +5,18 @@
 use super::pdu::{Codec, HEADER_LENGTH, MAX_DATA_SEGMENT, NO_TAG, Pdu, response};
 use crate::action_rules::is_past_transit;
 use crate::frontend::closing::SharedStream;
+use crate::metrics::counters::Counters;
 use crate::resources::descriptors::ClientSlot;
+use crate::resources::reading_watch::ReadingWatch;
 use crate::resources::socket;
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::time::timeout;
+use tokio::time::{self, sleep_until};
 
-/// Time limit for writing a batch of PDUs to an initiator that reads slowly.
+/// Time-out of an initiator that has stopped reading what is sent to it.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes reserved before each read; holds many PDUs without a data segment.
 const READ_BUFFER: usize = 4096;
@@ -51,6 +53,7 @@
     stream: SharedStream,
     /// The connection's slot in the descriptor budget.
     slot: Rc<ClientSlot>,
+    counters: Rc<Counters>,
     codec: Codec,
     incoming: BytesMut,
     /// When the latest bytes arrived, or else when the connection was created.
@@ -62,11 +65,12 @@
 
 impl Connection {
     /// Creates a connection in its initial state: no digests, and sequence numbers not yet set by a login.
-    pub fn new(stream: SharedStream, slot: Rc<ClientSlot>) -> Connection {
+    pub fn new(stream: SharedStream, slot: Rc<ClientSlot>, counters: Rc<Counters>) -> Connection {
         let codec = Codec { header_digest: false, data_digest: false, max_data_segment: MAX_DATA_SEGMENT };
         Connection {
             stream,
             slot,
+            counters,
             codec,
             incoming: BytesMut::new(),
             last_received: Instant::now(),
@@ -215,7 +219,34 @@
             let pdu = pdu.clone().with_u32(28, self.exp_cmd_sn).with_u32(32, self.max_cmd_sn);
             self.codec.encode(&pdu, &mut out);
         }
-        timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await.map_err(|_| SessionError::Timeout)??;
+        while out.has_remaining() {
+            let written = self.write_some(&out).await?;
+            out.advance(written);
+        }
         Ok(())
     }
+
+    /// Writes as many bytes as the socket takes, at least one. Returns their number.
+    async fn write_some(&mut self, bytes: &[u8]) -> Result<usize, SessionError> {
+        let reading = ReadingWatch::new(WRITE_TIMEOUT);
+        reading.blocked();
+        loop {
+            let next_look = reading.next_look().unwrap_or_else(time::Instant::now);
+            tokio::select! {
+                biased;
+                written = self.stream.write(bytes) => match written? {
+                    0 => return Err(SessionError::Closed),
+                    written => return Ok(written),
+                },
+                () = sleep_until(next_look) => {}
+            }
+            if let Err(stopped) = reading.look(self.stream.socket()) {
+                self.counters.stalled_readers.add();
+                if self.counters.stall_log.is_due() {
+                    log::info!("block: initiator stopped reading, {stopped}");
+                }
+                return Err(SessionError::Timeout);
+            }
+        }
+    }
 }
--- a/src/frontend/block/session.rs
+++ b/src/frontend/block/session.rs
@@ -91,7 +91,7 @@
     slot: Rc<ClientSlot>,
 ) -> Result<(), SessionError> {
     stream.socket().set_nodelay(true)?;
-    let mut connection = Connection::new(stream, slot.clone());
+    let mut connection = Connection::new(stream, slot.clone(), frontend.counters.clone());
     let login = login::login(&mut connection, &frontend.target, |params| {
         let handle = frontend.open(params)?;
         Some((handle.tsih(), handle))
--- a/tests/peers/initiator.rs
+++ b/tests/peers/initiator.rs
@@ -44,6 +44,11 @@
         Initiator { stream, command: 1, task: 0, most: 0 }
     }
 
+    /// Lets its system hold no more than so many bytes that it has not read.
+    pub fn limit_receive_buffer(&self, bytes: usize) {
+        socket2::SockRef::from(&self.stream).set_recv_buffer_size(bytes).expect("a receive buffer");
+    }
+
     /// A session in its full feature phase; `extra` are further keys, joined with zeros.
     pub fn login(address: SocketAddr, extra: &str) -> Initiator {
         let mut initiator = Initiator::connect(address);
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -7,6 +7,7 @@
 
 use flaxgap_streams::frames::{PREFACE, flag, kind};
 use peers::frames;
+use peers::initiator::Initiator;
 use peers::usual_clients::UsualClients;
 use peers::*;
 use std::collections::BTreeMap;
@@ -24,6 +25,8 @@
 const FILLING_TIME: Duration = Duration::from_secs(2);
 /// Rate of the slowest clients, in bytes per second.
 const SLOW_RATE: u32 = 64_000;
+/// Opcode of a Data-In PDU.
+const DATA_IN: u8 = 0x25;
 const MEGABYTE: usize = 1_000_000;
 
 /// A node whose answers are as long as the number after `?` in the path says, in megabytes; others are short.
@@ -322,3 +325,61 @@
     assert!(took < STALL_TIMEOUT + FILLING_TIME, "{took:?}");
     wait(|| (head.counter("in_flight") == 0 && head.counter("slots_node") == 0).then_some(()));
 }
+
+/// Number of reads that a session may have open, and blocks of each: twice what the systems' buffers hold.
+const BLOCK_READS: u32 = 128;
+const BLOCKS_OF_A_READ: u16 = 128;
+const BYTES_OF_A_READ: usize = BLOCKS_OF_A_READ as usize * 512;
+
+/// Starts a head whose block frontend takes all of these reads at once, and an initiator that asks for them.
+fn start_block_reads() -> (Discovery, Head, Initiator) {
+    const UNLIMITED_PLAN: &str = "\"base_rate\":40000.0,\"name\":\"network\",\"reserve\":40000.0";
+    let node = Brick::start(|_, _| Step::Serve(vec![7; BYTES_OF_A_READ]));
+    let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
+    let text = config(&discovery, 1024, "null")
+        .replace("\"base_rate\":400.0,\"name\":\"network\",\"reserve\":400.0", UNLIMITED_PLAN);
+    let block = BLOCK.replace("queue_depth = 8", &format!("queue_depth = {BLOCK_READS}"));
+    let head = Head::start_text(&text, Some(&block), &[]);
+    let mut initiator = Initiator::login(head.block.expect("it is on"), "");
+    initiator.limit_receive_buffer(64 << 10);
+    for _ in 0..BLOCK_READS {
+        initiator.read(1, 0, BLOCKS_OF_A_READ);
+    }
+    (discovery, head, initiator)
+}
+
+/// Guards against a limit on the time of a write that counts no progress: the data of a read lie behind megabytes of
+/// earlier ones that the initiator is reading.
+#[test]
+fn an_initiator_that_reads_slowly_gets_the_data_of_all_its_reads() {
+    let (_discovery, head, mut initiator) = start_block_reads();
+    let began = Instant::now();
+    let mut good = 0;
+    let mut length = 0;
+    for _ in 0..BLOCK_READS {
+        loop {
+            let pdu = initiator.receive();
+            length += pdu.data.len();
+            if began.elapsed() < SLOW_TIME {
+                thread::sleep(Duration::from_secs(1) * pdu.data.len() as u32 / SLOW_RATE);
+            }
+            if pdu.header[0] != DATA_IN {
+                good += u32::from(pdu.status().0 == 0);
+                break;
+            }
+        }
+    }
+    assert_eq!((good, length), (BLOCK_READS, BLOCK_READS as usize * BYTES_OF_A_READ));
+    assert_eq!(head.counter("stalled_readers"), 0);
+}
+
+/// Guards against the mend of the test above: the session of an initiator that has stopped ends as soon as before.
+#[test]
+fn the_session_of_an_initiator_that_has_stopped_reading_ends_in_time() {
+    let (_discovery, head, _initiator) = start_block_reads();
+    let began = Instant::now();
+    wait(|| (head.counter("stalled_readers") == 1).then_some(()));
+    let took = began.elapsed();
+    assert!(took < STALL_TIMEOUT + FILLING_TIME, "{took:?}");
+    wait(|| (head.counter("in_flight") == 0).then_some(()));
+}
