Uploads go on whose node reads slowly while their client is still sending

Callers saw: an upload of 32 MB at 2 MB/s to a node that reads at 65 kB/s for 14 s was rejected (503) at a head of 32 MB, where there is no memory to read it ahead.

Cause: two limits looked at signs that stay still while there is progress. The node had 5 s from when bytes were last passed to its socket, which takes more only once a third of its buffer is free. And the client's time ran from the last byte read of it, although more was missing than both systems' buffers hold, so that it can't have sent the last one.

Change: while the socket to the node takes no bytes, the attempt ends 5 s after the node's system stopped acknowledging.

--- a/src/action_rules/send_stall.rs
+++ b/src/action_rules/send_stall.rs
@@ -74,6 +74,15 @@
         self.remaining.is_zero()
     }
 
+    /// When the peer will have stopped reading if it is not seen to acknowledge more by then.
+    pub fn stops_at(&self) -> Instant {
+        let unknown_progress_time = match self.acknowledged_bytes {
+            Some(_) => Duration::ZERO,
+            None => UNKNOWN_PROGRESS_TIME,
+        };
+        self.settled_at + self.remaining + unknown_progress_time
+    }
+
     /// When the wait began. The socket has taken no bytes since then.
     pub fn began_at(&self) -> Instant {
         self.began_at
--- a/src/core/upload.rs
+++ b/src/core/upload.rs
@@ -134,8 +134,8 @@
 }
 
 impl UploadStream {
-    /// Maximum time for which a node may accept no bytes of the body before its attempt ends as stalled.
-    const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+    /// Time-out of a node that has stopped reading the body, after which its attempt ends.
+    pub const STALL_TIMEOUT: Duration = Duration::from_secs(5);
     /// Time within which bytes that have arrived are read if nothing delays it.
     const PROMPT_READ_TIME: Duration = Duration::from_millis(5);
     /// Time in which a client's system sends all that it holds, once there is room: its send buffer at 1 Gbit/s.
@@ -227,7 +227,7 @@
             Some(Ok(bytes)) => {
                 self.received.set(self.received.get() + bytes.len() as u64);
                 self.last_received.set(now);
-                if self.remaining().is_some_and(|remaining| remaining > SOCKET_BUFFERS_BYTES as u64) {
+                if self.is_more_missing_than_systems_hold() {
                     self.incomplete_until.set(now);
                 }
             }
@@ -237,6 +237,11 @@
         Poll::Ready(chunk)
     }
 
+    /// Whether so many bytes are still to be received that the client can't have sent the last one.
+    fn is_more_missing_than_systems_hold(&self) -> bool {
+        self.remaining().is_some_and(|remaining| remaining > SOCKET_BUFFERS_BYTES as u64)
+    }
+
     /// Notes a poll of the source. The client can't have sent the last byte while nothing is to be read, provided that
     /// its system had the time to send what it holds: while bytes were left unread, it may have held back some.
     fn note_poll(&self, is_pending: bool, now: Instant) {
@@ -261,13 +266,21 @@
     }
 
     /// Deadline of the attempt that sends the body: the response timeout after the client may have sent the last byte
-    /// and, until that is received, the stall timeout after the last progress.
+    /// and, until that is received, when the node will have stopped reading. That is `reading_stops_at` while the socket to
+    /// the node takes no bytes, and otherwise the stall timeout after the last progress.
     ///
     /// The client's time runs from its last byte, which may lie unread in the buffers of both systems while the node
     /// reads slowly. `client` tells whether bytes of it are unread.
-    pub fn attempt_deadline(&self, client: Option<&dyn Client>) -> Instant {
+    pub fn attempt_deadline(
+        &self,
+        client: Option<&dyn Client>,
+        reading_stops_at: Option<Instant>,
+    ) -> Instant {
         let now = Instant::now();
         let is_ended = self.ended_at.get().is_some();
+        if self.is_more_missing_than_systems_hold() {
+            self.incomplete_until.set(now);
+        }
         let is_due = now >= self.incomplete_until.get() + self.response_timeout;
         let is_quiet = self.last_received.get().elapsed() >= UploadStream::SEND_BUFFER_TIME;
         if is_due && !is_ended && is_quiet && client.is_some_and(|client| client.has_nothing_unread()) {
@@ -276,7 +289,10 @@
         let client_deadline = self.incomplete_until.get() + self.response_timeout;
         match is_ended {
             true => client_deadline,
-            false => client_deadline.min(self.last_progress.get() + UploadStream::STALL_TIMEOUT),
+            false => {
+                let progress_deadline = self.last_progress.get() + UploadStream::STALL_TIMEOUT;
+                client_deadline.min(reading_stops_at.unwrap_or(progress_deadline))
+            }
         }
     }
 
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -167,7 +167,9 @@
         let Some(request) = request else { return Ok(AttemptResult::empty(AttemptOutcome::NotSent)) };
         let response = connection.sender.send_request(request);
         let receiving = NodeResponse::receive(response, &self.transport.memory, &self.guard.permit);
-        let received = connection.drive(receiving, || self.deadline(), |cx| self.read_ahead(cx)).await;
+        let progress = connection.progress.clone();
+        let deadline = || self.deadline(progress.reading_stops_at());
+        let received = connection.drive(receiving, deadline, |cx| self.read_ahead(cx)).await;
         if let Some(reason) = connection.progress.refused() {
             return Err(reason);
         }
@@ -186,10 +188,11 @@
         matches!(&self.request.payload, Payload::Buffered(bytes) if bytes.is_empty())
     }
 
-    /// The attempt's current deadline, which moves while a streamed body is forwarded.
-    fn deadline(&self) -> Instant {
+    /// The attempt's current deadline, which moves while a streamed body is forwarded. `reading_stops_at` is when the node
+    /// will have stopped reading, if the socket takes no bytes.
+    fn deadline(&self, reading_stops_at: Option<Instant>) -> Instant {
         match self.request.payload.upload() {
-            Some(upload) => upload.attempt_deadline(self.guard.permit.client.as_deref()),
+            Some(upload) => upload.attempt_deadline(self.guard.permit.client.as_deref(), reading_stops_at),
             None => self.guard.permit.expires_at,
         }
     }
--- a/src/node/progress.rs
+++ b/src/node/progress.rs
@@ -4,7 +4,9 @@
 use super::limits::MAX_RESPONSE_BYTES;
 use crate::action_rules::may_tell;
 use crate::core::WriteProgress;
+use crate::core::upload::UploadStream;
 use crate::metrics::counters::Counters;
+use crate::resources::reading_watch::ReadingWatch;
 use crate::scheduler::NodeId;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -53,6 +55,10 @@
     interim_received: Arc<AtomicBool>,
     /// Whether the node has closed or reset the connection.
     closed_by_node: Cell<bool>,
+    /// Whether the node goes on reading while the socket takes no more bytes.
+    reading: ReadingWatch,
+    /// When the node will have stopped reading if it reads no more by then; `None` while the socket takes bytes.
+    reading_stops_at: Cell<Option<Instant>>,
 }
 
 impl ExchangeProgress {
@@ -67,6 +73,8 @@
             bytes_read: Cell::default(),
             interim_received: Arc::default(),
             closed_by_node: Cell::default(),
+            reading: ReadingWatch::new(UploadStream::STALL_TIMEOUT),
+            reading_stops_at: Cell::default(),
         })
     }
 
@@ -79,6 +87,8 @@
         self.request.set(WriteState::NotStarted { body_taken: body_is_empty });
         self.last_bytes_at.set(None);
         self.bytes_read.set(0);
+        self.reading.unblocked();
+        self.reading_stops_at.set(None);
         self.interim_received.store(false, Ordering::Relaxed);
     }
 
@@ -108,6 +118,21 @@
         Ok(())
     }
 
+    /// Records whether the socket takes bytes of the request.
+    pub(super) fn writable_changed(&self, stream: &TcpStream, is_writable: bool) {
+        if is_writable {
+            self.reading.unblocked();
+            self.reading_stops_at.set(None);
+        } else {
+            self.reading_stops_at.set(Some(self.reading.blocked_until(stream)));
+        }
+    }
+
+    /// When the node will have stopped reading the request if it reads no more by then; `None` while the socket takes bytes.
+    pub(super) fn reading_stops_at(&self) -> Option<Instant> {
+        self.reading_stops_at.get()
+    }
+
     /// Records that hyper has polled the last bytes out of the body.
     pub(super) fn body_taken(&self) {
         match self.request.get() {
--- a/src/node/stream.rs
+++ b/src/node/stream.rs
@@ -37,6 +37,7 @@
             progress.check_first_byte(stream)?;
             write(Pin::new(stream), cx)
         });
+        self.progress.writable_changed(&self.stream, written.is_ready());
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.progress.bytes_written();
         }
--- a/src/resources/reading_watch.rs
+++ b/src/resources/reading_watch.rs
@@ -59,6 +59,18 @@
         self.stall.get().map(|stall| stall.next_look())
     }
 
+    /// Notes that the socket takes no more bytes, and looks at the connection if that is due, or if it is known since now
+    /// only. Returns when the peer will have stopped reading if it reads no more by then.
+    pub fn blocked_until(&self, socket: &impl AsFd) -> Instant {
+        let was_blocked = self.is_blocked();
+        self.blocked();
+        if !was_blocked || self.next_look().is_some_and(|at| at <= Instant::now()) {
+            // A peer that has stopped is told by the time that is returned.
+            let _ = self.look(socket);
+        }
+        self.stall.get().map_or_else(Instant::now, |stall| stall.stops_at())
+    }
+
     /// Looks at the connection.
     ///
     /// # Errors
--- a/tests/late_bodies.rs
+++ b/tests/late_bodies.rs
@@ -143,9 +143,12 @@
     }
 }
 
-/// A node that reads requests in pieces, and answers each once it has all of it.
-fn slow_reading_node(piece_bytes: usize) -> SocketAddr {
-    const PIECE_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two pieces that a slow node reads.
+const PIECE_PAUSE: Duration = Duration::from_millis(20);
+
+/// A node that reads requests in pieces, and answers each once it has all of it. It reads slowly for `slow_time` from the
+/// beginning of a connection.
+fn slow_reading_node(piece_bytes: usize, slow_time: Duration) -> SocketAddr {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(8 * piece_bytes).expect("a buffer");
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
@@ -156,7 +159,8 @@
         for stream in listener.incoming().flatten() {
             thread::spawn(move || {
                 let mut out = stream.try_clone().expect("a handle");
-                let mut from = BufReader::with_capacity(piece_bytes, Paced { stream, pause: PIECE_PAUSE });
+                let slow_until = Instant::now() + slow_time;
+                let mut from = BufReader::with_capacity(piece_bytes, Paced { stream, slow_until });
                 while Message::read(&mut from).is_some() {
                     if out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
                         return;
@@ -168,19 +172,50 @@
     address
 }
 
-/// A connection of which each read takes a while.
+/// A connection of which each read takes a while, up to a moment.
 struct Paced {
     stream: TcpStream,
-    pause: Duration,
+    slow_until: Instant,
 }
 
 impl Read for Paced {
     fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
-        thread::sleep(self.pause);
+        if Instant::now() < self.slow_until {
+            thread::sleep(PIECE_PAUSE);
+        }
         self.stream.read(buffer)
     }
 }
 
+/// Longer than any test.
+const ALWAYS: Duration = Duration::from_secs(3600);
+
+/// Guards against an upload that is given up because the socket to its node takes no bytes, although the node reads all the
+/// time and the client is still sending: there is no memory to read further ahead.
+#[test]
+fn an_upload_goes_on_whose_node_reads_slowly_while_its_client_is_sending() {
+    const LENGTH: usize = 32_000_000;
+    // The client sends at 2 MB/s at most.
+    const PIECE: usize = 100_000;
+    const CLIENT_PAUSE: Duration = Duration::from_millis(50);
+    const SLOW_TIME: Duration = Duration::from_secs(14);
+    // 65 kB/s.
+    let node = slow_reading_node(1300, SLOW_TIME);
+    let discovery = Discovery::start(&[entry("s-0", node, 0, "ready")]);
+    let text = config(&discovery, 1024, "null").replace("\"memory_mb\":192", "\"memory_mb\":32");
+    let head = Head::start_text(&text, None, &[]);
+    let mut client = Client::new(head.http);
+    let began = Instant::now();
+    let mut is_written =
+        client.try_send_all(&Client::request("episode-save", "network", 1, 1.5, LENGTH), b"");
+    for _ in 0..LENGTH / PIECE {
+        is_written = is_written && client.try_send_all("", &[b'x'; PIECE]);
+        thread::sleep(CLIENT_PAUSE);
+    }
+    let status = client.answer().map(|answer| answer.status());
+    assert_eq!((is_written, status), (true, Some(200)), "after {:?}", began.elapsed());
+}
+
 /// Uploads at once to a node that reads slowly.
 #[derive(Clone, Copy, Debug)]
 struct SlowUploads {
@@ -217,7 +252,7 @@
 fn play_slow_uploads(case: SlowUploads) {
     const TIME_LEFT_S: f64 = 1.5;
     const UPLOADS: usize = 16;
-    let node = slow_reading_node(case.piece_bytes);
+    let node = slow_reading_node(case.piece_bytes, ALWAYS);
     let discovery = Discovery::start(&[entry("s-0", node, 0, "ready")]);
     let memory = format!("\"memory_mb\":{}", case.memory_mb);
     let head =
