Slow readers: answers that the system holds at the close and at the end of the process

Need: review of related paths: is the end of an answer, still in the system's buffer, ever cut off by the close or by SIGTERM?

Change: two cases of tests/slow_readers.rs, an answer of 3 MB whose connection the head closes while most of it is unread, and the same whose head ends by SIGTERM.

--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -101,7 +101,7 @@
 /// for over 10 s, although the client reads all the time.
 #[test]
 fn a_client_that_reads_slowly_but_steadily_gets_all_of_its_answer() {
-    const FORMS: [(usize, Pace); 10] = [
+    const FORMS: [(usize, Pace); 11] = [
         (6, Pace::new(4 << 10, 640, 10)),
         (6, Pace::new(4 << 10, 6_400, 100)),
         (6, Pace::new(64 << 10, 6_400, 100)),
@@ -112,6 +112,8 @@
         (6, Pace::new(64 << 10, 128_000, 2_000)),
         (32, Pace::new(1 << 20, 128_000, 2_000)),
         (1, Pace::new(64 << 10, 6_400, 100)),
+        // The head closes the connection while the system still holds most of the answer.
+        (3, Pace::new(64 << 10, 6_400, 100)),
     ];
     let node = node();
     let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
@@ -134,6 +136,25 @@
     assert_eq!(head.counter("stalled_readers"), 0);
 }
 
+/// Guards against an end of the process, at a restart or after an upgrade, that throws away what the system holds of an
+/// answer.
+#[test]
+fn an_answer_that_the_system_holds_outlives_the_process() {
+    const ANSWER_MB: usize = 3;
+    let node = node();
+    let discovery = Discovery::start(&[entry("s-0", node.address, 0, "ready")]);
+    let mut head = Head::start(&discovery, None, &[]);
+    let pace = Pace::new(64 << 10, 6_400, 100);
+    let mut stream = pace.connect(head.http);
+    stream.write_all(fetch(ANSWER_MB).as_bytes()).expect("sent");
+    wait(|| (head.counter("served") == 1).then_some(()));
+    head.signal("-TERM");
+    assert!(head.ended());
+    let length = ANSWER_MB * MEGABYTE;
+    let answer = pace.read(&mut stream, |answer| body_of(answer) == Some(length));
+    assert_eq!(body_of(&answer), Some(length));
+}
+
 /// Guards against the mend of the test above: a client that has stopped, or reads a little only to be kept, is
 /// disconnected as soon as before, its descriptor and the connection to its node are given back, and it can tell that its
 /// answer is not whole.
