All that a plug-in holds is counted at the allocator, and function pointers hold nothing

Cause: the only bound was the script library's sizes of single values, which do not see what is bound to a function pointer, by curry or by a closure, and nothing counted what a script keeps from call to call.

Change: a per-thread count of the process's allocations gives the script's memory: code, state and values of a call, checked at each step and kept between calls, within max_memory_mb (new, 4 by default) and the head's budget. Over it the script is switched off and its state freed. The library is built without captured variables; scripts with curry or eval are switched off when they are loaded and do not keep the head from starting.

Test changes: Plugin::new takes the memory budget; the limits have one more field.

--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -240,7 +240,8 @@
             spawn_local(export::run_collectd(collectd, self.counters.clone()));
         }
         if let Some(plugin) = &operators_file.plugin {
-            self.dispatcher.set_observer(Rc::new(Plugin::load(plugin, self.counters.clone())?));
+            let plugin = Plugin::load(plugin, self.counters.clone(), self.memory.clone())?;
+            self.dispatcher.set_observer(Rc::new(plugin));
         }
         Ok(())
     }
--- a/src/metrics/counters.rs
+++ b/src/metrics/counters.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Exported names of the gauges; all others are counters.
-const GAUGES: [&str; 19] = [
+const GAUGES: [&str; 20] = [
     "in_flight",
     "accept_queue",
     "accept_queue_wait_us",
@@ -33,6 +33,7 @@
     "slots_closing",
     "memory_bodies",
     "memory_exchanges",
+    "memory_plugin",
     "memory_limit",
     "memory_resident",
 ];
@@ -151,6 +152,7 @@
                     ("slots_closing", slots_in(SlotState::Closing)),
                     ("memory_bodies", memory.body_bytes as u64),
                     ("memory_exchanges", memory.exchange_bytes as u64),
+                    ("memory_plugin", memory.plugin_bytes as u64),
                     ("memory_limit", memory.limit_bytes as u64),
                     ("memory_resident", self.memory.get().map_or(0, |_| resident_bytes())),
                 ]
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -3,8 +3,10 @@
 //! The script runs on the head's only thread, so nothing that it does may hold that up: steps, time and lines of a call
 //! and the size of values are limited, and only functions that neither wait nor reach files, sockets or clocks can be
 //! called ([`engine`]). Failed calls are counted and logged. A hook is switched off after [`MAX_FAILURES`] consecutive
-//! failures, and the whole script once its calls take too much time together ([`TimeBudget`]) or a function panics.
+//! failures, and the whole script once its calls take too much time together ([`TimeBudget`]), it holds too much memory
+//! ([`CallUsage`]) or a function panics.
 
+mod call_usage;
 mod engine;
 mod time_budget;
 
@@ -13,8 +15,10 @@
 
 use crate::core::{Answer, Call, Observer, Operation};
 use crate::metrics::counters::Counters;
+use crate::resources::memory::MemoryBudget;
 use crate::resources::repeat::read_text_file;
-use engine::{CallUsage, MAX_CALL_TIME, MAX_SIZE_LIMIT, limited_engine};
+use call_usage::{CallUsage, MAX_CALL_TIME};
+use engine::{DISABLED_SYMBOLS, MAX_SIZE_LIMIT, disable_symbols, limited_engine, truncated};
 use rhai::{AST, CallFnOptions, Dynamic, Engine, Map, Scope};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
@@ -27,12 +31,19 @@
 
 /// Consecutive failed calls after which a hook is switched off.
 const MAX_FAILURES: u32 = 10;
+/// Bytes of a MiB.
+const MIB: usize = 1 << 20;
+/// `max_memory_mb` if the operators' file does not say.
+const DEFAULT_MAX_MEMORY_MB: usize = 4;
+/// Divisor of the memory for peers that gives the part that a script may hold at most.
+const MEMORY_DIVISOR: usize = 3;
+
 /// Why a call failed.
 #[derive(Debug, Error)]
 enum CallError {
     /// The script exceeded a limit or has an error.
     #[error("{0}")]
-    Script(#[from] Box<rhai::EvalAltResult>),
+    Script(ScriptError),
     /// The call ended, but took too long.
     #[error("took {} us, {} at most", .0.as_micros(), MAX_CALL_TIME.as_micros())]
     Slow(Duration),
@@ -41,6 +52,14 @@
     Panicked,
 }
 
+/// An error of the script, without the values of the script that the library's error may hold.
+#[derive(Debug, Error)]
+#[error("{message}")]
+struct ScriptError {
+    /// The beginning of the library's message.
+    message: String,
+}
+
 /// A function of the script that the head calls, if the script defines it.
 struct Hook {
     name: &'static str,
@@ -76,6 +95,44 @@
     Malformed(#[from] rhai::ParseError),
 }
 
+/// Why a script that can be compiled is not run. It does not keep the head from starting, since earlier versions may have
+/// run it.
+#[derive(Debug, Error)]
+enum Refusal {
+    /// It uses a word that scripts may not use.
+    #[error("it uses a word that scripts may not use, {DISABLED_SYMBOLS:?}: {0}")]
+    DisabledSymbol(rhai::ParseError),
+    /// It is larger than all that it may hold.
+    #[error("it is too large, bytes={bytes} max_bytes={max_bytes}")]
+    TooLarge { bytes: usize, max_bytes: usize },
+}
+
+/// Compiles a script, whose memory counts as held by it.
+///
+/// # Errors
+///
+/// The error of the compiler if the text is no script, and otherwise, within the result, why the script is not run.
+fn compile(
+    engine: &mut Engine,
+    text: &str,
+    usage: &CallUsage,
+) -> Result<Result<AST, Refusal>, rhai::ParseError> {
+    let max_bytes = usage.max_bytes();
+    if text.len() > max_bytes {
+        return Ok(Err(Refusal::TooLarge { bytes: text.len(), max_bytes }));
+    }
+    engine.compile(text)?;
+    disable_symbols(engine);
+    let script = match usage.measure(|| engine.compile(text)) {
+        Ok(script) => script,
+        Err(error) => return Ok(Err(Refusal::DisabledSymbol(error))),
+    };
+    if usage.is_memory_exceeded() {
+        return Ok(Err(Refusal::TooLarge { bytes: usage.kept_bytes(), max_bytes }));
+    }
+    Ok(Ok(script))
+}
+
 /// Settings of the plug-in.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -86,6 +143,29 @@
     pub max_steps: u64,
     /// Maximum number of elements of an array or map, 4,096 at most. Strings may have 16 bytes for each of them.
     pub max_size: usize,
+    /// Maximum memory that the script may hold, in MiB: the compiled script, the state that it keeps and the values of a call;
+    /// a third of the memory for peers at most.
+    #[serde(default = "default_max_memory_mb")]
+    pub max_memory_mb: usize,
+}
+
+fn default_max_memory_mb() -> usize {
+    DEFAULT_MAX_MEMORY_MB
+}
+
+impl PluginConfig {
+    /// Bytes that the script may hold.
+    fn max_bytes(&self, memory: &MemoryBudget) -> usize {
+        let configured_bytes = self.max_memory_mb.saturating_mul(MIB);
+        let max_bytes = configured_bytes.min(memory.head_limit_bytes() / MEMORY_DIVISOR);
+        if max_bytes < configured_bytes {
+            let configured = self.max_memory_mb;
+            log::warn!(
+                "plug-in: max_memory_mb is too large, max_memory_mb={configured}, used={max_bytes} bytes"
+            );
+        }
+        max_bytes
+    }
 }
 
 /// A compiled script and the state that it keeps between calls.
@@ -102,6 +182,8 @@
     time_budget: RefCell<TimeBudget>,
     is_switched_off: Cell<bool>,
     counters: Rc<Counters>,
+    /// Accounts for what the script holds.
+    memory: Rc<MemoryBudget>,
 }
 
 impl Plugin {
@@ -110,25 +192,40 @@
     /// # Errors
     ///
     /// [`PluginError`] if the file can't be read or compiled.
-    pub fn load(config: &PluginConfig, counters: Rc<Counters>) -> Result<Plugin, PluginError> {
+    pub fn load(
+        config: &PluginConfig,
+        counters: Rc<Counters>,
+        memory: Rc<MemoryBudget>,
+    ) -> Result<Plugin, PluginError> {
         let text = read_text_file(&config.script)
             .map_err(|source| PluginError::Unreadable { path: config.script.clone(), source })?;
-        Plugin::new(&text, config, counters)
+        Plugin::new(&text, config, counters, memory)
     }
 
-    /// Compiles a script from its text.
+    /// Compiles a script from its text. One that uses a word that scripts may not use, or
+    /// is too large, is switched off.
     ///
     /// # Errors
     ///
     /// [`PluginError::Malformed`] if the text can't be compiled.
-    pub fn new(text: &str, config: &PluginConfig, counters: Rc<Counters>) -> Result<Plugin, PluginError> {
+    pub fn new(
+        text: &str,
+        config: &PluginConfig,
+        counters: Rc<Counters>,
+        memory: Rc<MemoryBudget>,
+    ) -> Result<Plugin, PluginError> {
         if config.max_size > MAX_SIZE_LIMIT {
             log::warn!("plug-in: max_size is too large, max_size={}, used={MAX_SIZE_LIMIT}", config.max_size);
         }
-        let usage = CallUsage::new();
-        let engine = limited_engine(config, &usage);
-        let script = engine.compile(text)?;
-        Ok(Plugin {
+        let max_bytes = config.max_bytes(&memory);
+        let usage = CallUsage::new(max_bytes);
+        let mut engine = limited_engine(config, &usage);
+        let (script, refusal) = match compile(&mut engine, text, &usage)? {
+            Ok(script) => (script, None),
+            Err(refusal) => (AST::empty(), Some(refusal)),
+        };
+        memory.set_plugin_bytes(usage.kept_bytes());
+        let plugin = Plugin {
             request_hook: Hook::find("on_request", &script),
             response_hook: Hook::find("on_answer", &script),
             engine,
@@ -139,7 +236,12 @@
             time_budget: RefCell::new(TimeBudget::new(Duration::ZERO)),
             is_switched_off: Cell::new(false),
             counters,
-        })
+            memory,
+        };
+        if let Some(refusal) = refusal {
+            plugin.switch_off(&refusal.to_string());
+        }
+        Ok(plugin)
     }
 
     /// Calls a function of the script, with the script's state as `this`. Does nothing if the script does not define the
@@ -148,9 +250,9 @@
         if self.is_switched_off.get() || !hook.is_on() {
             return;
         }
-        let argument = argument();
         self.usage.begin();
-        let result = catch_unwind(AssertUnwindSafe(|| self.run(hook, argument)));
+        // The argument is freed by the call, so it is allocated within the measurement.
+        let result = catch_unwind(AssertUnwindSafe(|| self.usage.measure(|| self.run(hook, argument()))));
         let time = self.usage.processor_time();
         match result {
             Ok(Ok(())) if time > MAX_CALL_TIME => self.record_failure(hook, &CallError::Slow(time)),
@@ -161,18 +263,30 @@
                 self.switch_off("a function panicked");
             }
         }
+        if self.usage.is_memory_exceeded() {
+            let max_bytes = self.usage.max_bytes();
+            self.switch_off(&format!("it holds too much memory, max_bytes={max_bytes}"));
+        }
         if !self.time_budget.borrow_mut().take(time, self.started_at.elapsed()) {
             self.switch_off("its calls take too much time");
         }
+        self.memory.set_plugin_bytes(self.usage.kept_bytes());
     }
 
-    fn run(&self, hook: &Hook, argument: Map) -> Result<(), Box<rhai::EvalAltResult>> {
+    fn run(&self, hook: &Hook, argument: Map) -> Result<(), ScriptError> {
         let state = &mut *self.state.borrow_mut();
         let options = CallFnOptions::new().eval_ast(false).bind_this_ptr(state);
         let scope = &mut Scope::new();
-        self.engine
-            .call_fn_with_options::<Dynamic>(options, scope, &self.script, hook.name, (argument,))
-            .map(|_| ())
+        let called =
+            self.engine.call_fn_with_options::<Dynamic>(options, scope, &self.script, hook.name, (argument,));
+        match called {
+            Ok(_) => Ok(()),
+            // The error may hold values of the script, which are freed here, within the measurement.
+            Err(error) => {
+                let message = self.usage.exclude(|| truncated(&error.to_string()));
+                Err(ScriptError { message })
+            }
+        }
     }
 
     fn record_failure(&self, hook: &Hook, error: &CallError) {
@@ -183,9 +297,11 @@
         log::warn!("plug-in: {}: {error}{switched_off}", hook.name);
     }
 
+    /// Switches the whole script off and frees the state that it keeps.
     fn switch_off(&self, reason: &str) {
         if !self.is_switched_off.replace(true) {
             log::error!("plug-in: switched off: {reason}");
+            self.usage.measure(|| drop(self.state.replace(Dynamic::UNIT)));
         }
     }
 }
--- a/src/plugin/engine.rs
+++ b/src/plugin/engine.rs
@@ -1,26 +1,25 @@
 //! The script engine: which functions a script can call, and the limits of a call.
 //!
-//! Only the packages named in [`limited_engine`] are registered. A native function counts as one step whatever it does,
+//! Only the packages named in [`register_packages`] are registered. A native function counts as one step whatever it does,
 //! so each of them has to take time that the limits on sizes bound; none may wait, or reach files, sockets or clocks.
+//!
+//! The library's sizes bound one value: the elements of lists and maps and the length of texts within it. So they bound
+//! what one function allocates and how deep values are nested, as long as no value holds others that the library does not
+//! count. Therefore function pointers hold none, neither by `curry` nor as closures (the library's feature `no_closure`).
+//! What a script holds in all is counted by [`CallUsage`], whatever holds it, and checked at each step.
 
 use super::PluginConfig;
+use super::call_usage::CallUsage;
 use rhai::packages::{
     ArithmeticPackage, BasicArrayPackage, BasicBlobPackage, BasicFnPackage, BasicIteratorPackage,
     BasicMapPackage, BasicMathPackage, BasicStringPackage, BitFieldPackage, LogicPackage, MoreStringPackage,
     Package,
 };
 use rhai::{Dynamic, Engine, EvalAltResult, ImmutableString, NativeCallContext};
-use rustix::time::{ClockId, clock_gettime};
-use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
-/// Longest processor time of one call. Checked between two steps of the script.
-pub(super) const MAX_CALL_TIME: Duration = Duration::from_millis(5);
 /// Upper bound of `max_size`, in elements: it bounds the time of one native function.
 pub(super) const MAX_SIZE_LIMIT: usize = 4096;
-/// Maximum number of lines that one call may log; further ones are dropped.
-pub(super) const MAX_LINES_PER_CALL: u32 = 16;
 /// Maximum length of a line logged by a script, in characters; longer lines are truncated.
 const MAX_LINE_CHARS: usize = 200;
 /// Maximum depth of nested function calls in a script.
@@ -34,55 +33,16 @@
 /// Maximum string length, as a multiple of the configured maximum number of elements.
 const STRING_BYTES_PER_ELEMENT: usize = 16;
 
-/// What the call in progress has used, shared with the engine's callbacks.
-pub(super) struct CallUsage {
-    began: Cell<Instant>,
-    /// Processor time of the thread when the call began.
-    processor_time_before: Cell<Duration>,
-    lines: Cell<u32>,
-}
-
-impl CallUsage {
-    pub(super) fn new() -> Rc<CallUsage> {
-        Rc::new(CallUsage {
-            began: Cell::new(Instant::now()),
-            processor_time_before: Cell::default(),
-            lines: Cell::new(0),
-        })
-    }
-
-    /// Notes that a call begins.
-    pub(super) fn begin(&self) {
-        self.began.set(Instant::now());
-        self.processor_time_before.set(thread_processor_time());
-        self.lines.set(0);
-    }
-
-    /// Processor time that the call has taken. Time for which the thread was not run does not count.
-    pub(super) fn processor_time(&self) -> Duration {
-        thread_processor_time().saturating_sub(self.processor_time_before.get())
-    }
-
-    /// Whether the call has taken more than [`MAX_CALL_TIME`]. The processor time is read only if that is possible, since
-    /// reading it costs a system call.
-    fn is_out_of_time(&self) -> bool {
-        self.began.get().elapsed() > MAX_CALL_TIME && self.processor_time() > MAX_CALL_TIME
-    }
+/// Words of the language that scripts may not use: they run text as code, or bind values to function pointers.
+pub(super) const DISABLED_SYMBOLS: [&str; 2] = ["curry", "eval"];
 
-    /// Counts a line that the script logs. Returns whether it may be logged.
-    pub(super) fn count_line(&self) -> bool {
-        let lines = self.lines.get();
-        self.lines.set(lines.saturating_add(1));
-        lines < MAX_LINES_PER_CALL
+/// Makes the engine refuse scripts that use [`DISABLED_SYMBOLS`].
+pub(super) fn disable_symbols(engine: &mut Engine) {
+    for symbol in DISABLED_SYMBOLS {
+        engine.disable_symbol(symbol);
     }
 }
 
-/// Processor time that this thread has taken so far.
-fn thread_processor_time() -> Duration {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    Duration::try_from(time).unwrap_or_default()
-}
-
 /// Creates a script engine with the configured limits.
 pub(super) fn limited_engine(config: &PluginConfig, usage: &Rc<CallUsage>) -> Engine {
     let max_size = config.max_size.clamp(1, MAX_SIZE_LIMIT);
@@ -95,19 +55,18 @@
     engine.set_max_array_size(max_size);
     engine.set_max_map_size(max_size);
     engine.set_max_string_size(max_size * STRING_BYTES_PER_ELEMENT);
-    engine.disable_symbol("eval");
     let call = usage.clone();
-    engine.on_progress(move |_| call.is_out_of_time().then(|| Dynamic::from("out of time")));
+    engine.on_progress(move |_| call.check().err().map(|exceeded| Dynamic::from(exceeded.to_string())));
     let call = usage.clone();
     engine.on_print(move |text| {
         if call.count_line() {
-            log::info!("plug-in: {}", truncated(text));
+            call.exclude(|| log::info!("plug-in: {}", truncated(text)));
         }
     });
     let call = usage.clone();
     engine.on_debug(move |text, _, _| {
         if call.count_line() {
-            log::debug!("plug-in: {}", truncated(text));
+            call.exclude(|| log::debug!("plug-in: {}", truncated(text)));
         }
     });
     engine
@@ -160,6 +119,6 @@
 }
 
 /// Truncates a text to [`MAX_LINE_CHARS`].
-fn truncated(text: &str) -> String {
+pub(super) fn truncated(text: &str) -> String {
     text.chars().take(MAX_LINE_CHARS).collect()
 }
--- a/src/plugin/tests.rs
+++ b/src/plugin/tests.rs
@@ -2,13 +2,21 @@
 
 use super::*;
 
+/// Memory of the head, in MiB: the least that the platform gives.
+const MEMORY_MB: usize = 32;
+
 /// The limits that `deploy/ops.toml` shows.
 fn deployed_limits() -> PluginConfig {
-    PluginConfig { script: PathBuf::new(), max_steps: 2000, max_size: 256 }
+    PluginConfig {
+        script: PathBuf::new(),
+        max_steps: 2000,
+        max_size: 256,
+        max_memory_mb: DEFAULT_MAX_MEMORY_MB,
+    }
 }
 
 fn plugin(text: &str, config: &PluginConfig) -> Plugin {
-    Plugin::new(text, config, Rc::new(Counters::default())).expect("compiles")
+    Plugin::new(text, config, Rc::new(Counters::default()), MemoryBudget::new(MEMORY_MB)).expect("compiles")
 }
 
 /// Calls a hook as often as given; returns the longest call.
@@ -25,7 +33,7 @@
 /// what is new has to be looked at for its time before it is accepted.
 #[test]
 fn the_functions_that_a_script_can_call_are_those_listed() {
-    let engine = limited_engine(&deployed_limits(), &CallUsage::new());
+    let engine = limited_engine(&deployed_limits(), &CallUsage::new(MIB));
     let mut signatures = engine.gen_fn_signatures(true);
     signatures.sort();
     insta::assert_snapshot!(signatures.join("\n"));
@@ -178,8 +186,105 @@
 
 #[test]
 fn a_call_logs_so_many_lines_and_no_more() {
-    let usage = CallUsage::new();
+    let usage = CallUsage::new(MIB);
     usage.begin();
     let logged = (0..1000).filter(|_| usage.count_line()).count();
-    assert_eq!(logged, engine::MAX_LINES_PER_CALL as usize);
+    assert_eq!(logged, call_usage::MAX_LINES_PER_CALL as usize);
+}
+
+/// The largest sizes that an operators' file can set, with any number of steps.
+fn largest_limits(max_memory_mb: usize) -> PluginConfig {
+    PluginConfig { max_steps: u64::MAX, max_size: MAX_SIZE_LIMIT, max_memory_mb, ..deployed_limits() }
+}
+
+/// Guards against a state that grows from call to call, each below the limits of a call.
+#[test]
+fn a_script_that_holds_too_much_is_switched_off_and_its_state_is_freed() {
+    const GROWING: &str =
+        "fn on_request(r) { this.m = #{ m: this.m ?? 0, l: [this.m ?? 0, \"0123456789abcdef0123\"] }; }";
+    let plugin = plugin(GROWING, &largest_limits(1));
+    let mut most_kept = 0;
+    let mut calls = 0;
+    while !plugin.is_switched_off.get() {
+        plugin.call(&plugin.request_hook, Map::new);
+        most_kept = most_kept.max(plugin.memory.usage().plugin_bytes);
+        calls += 1;
+        assert!(calls < 10_000, "{most_kept} bytes are kept");
+    }
+    println!("{most_kept} bytes at most, {calls} calls");
+    assert!(plugin.usage.is_memory_exceeded(), "its memory, not its time");
+    assert!(most_kept <= MIB, "{most_kept}");
+    assert!(plugin.memory.usage().plugin_bytes < 64 * 1024, "{}", plugin.memory.usage().plugin_bytes);
+}
+
+/// Guards against one call that holds too much and gives it back.
+#[test]
+fn a_call_that_holds_too_much_ends_between_two_of_its_steps() {
+    let script = "fn on_request(r) { let a = []; a.pad(4000, 1); loop { this.f(a); } }
+                  fn f(a) { let b = a; let c = a; let d = a; let e = a; let f = a; let g = a; let h = a; this.g(a); }
+                  fn g(a) { let b = a; let c = a; let d = a; let e = a; let f = a; let g = a; let h = a; let i = a; }";
+    let plugin = plugin(script, &largest_limits(1));
+    plugin.call(&plugin.request_hook, Map::new);
+    assert_eq!(plugin.counters.plugin_failures.get(), 1);
+    assert!(plugin.is_switched_off.get() && plugin.usage.is_memory_exceeded());
+}
+
+/// Guards against an account that counts what is freed elsewhere: arguments, log lines and errors.
+#[test]
+fn the_account_of_a_script_that_keeps_nothing_stays_the_same() {
+    const CALLS: usize = 3000;
+    let scripts = [
+        include_str!("../../deploy/plugin.rhai")
+            .replace("on_answer", "on_request")
+            .replace("r.answer", "r.volume"),
+        "fn on_request(r) { print(\"a line of some length, to be logged\"); }".to_owned(),
+        "fn on_request(r) { this.n = (this.n ?? 0) + 1; if this.n % 2 == 0 { throw [r, r.volume]; } }"
+            .to_owned(),
+        "fn on_request(r) { this.last = r; }".to_owned(),
+    ];
+    let argument = || Map::from_iter([("volume".into(), Dynamic::from("00000003b4d60021".to_owned()))]);
+    for script in scripts {
+        let plugin = plugin(&script, &deployed_limits());
+        let kept_after = |calls: usize| {
+            for _ in 0..calls {
+                plugin.call(&plugin.request_hook, argument);
+            }
+            plugin.usage.kept_bytes()
+        };
+        let (before, after) = (kept_after(100), kept_after(CALLS));
+        assert_eq!(before, after, "{script}");
+        assert!(!plugin.is_switched_off.get(), "{script}");
+    }
+}
+
+/// Guards against values that the library's sizes do not count, since function pointers hold them: copies of these would
+/// have any size, and be nested to any depth.
+#[test]
+fn function_pointers_hold_no_values() {
+    let plugin =
+        |body: &str| plugin(&format!("fn on_request(r) {{ {body} }} fn keep(x) {{ x }}"), &deployed_limits());
+    for body in ["let f = Fn(\"keep\").curry(1);", "let f = curry(Fn(\"keep\"), 1);", "eval(\"1\")"] {
+        assert!(plugin(body).is_switched_off.get(), "{body}");
+    }
+    let capturing = plugin("let x = 1; let f = || x; f.call();");
+    capturing.call(&capturing.request_hook, Map::new);
+    assert_eq!(capturing.counters.plugin_failures.get(), 1);
+    let holding_none =
+        plugin("let f = |x| x + 1; if f.call(1) != 2 || Fn(\"keep\").call(3) != 3 { throw 1; }");
+    holding_none.call(&holding_none.request_hook, Map::new);
+    assert_eq!(holding_none.counters.plugin_failures.get(), 0);
+}
+
+/// Guards against a head that does not start since its script takes more memory than it may hold.
+#[test]
+fn a_script_that_is_too_large_is_switched_off() {
+    let line = "let x = [1, 2, 3, 4, 5, 6, 7, 8];";
+    let repeated = line.repeat(2 * MIB / line.len());
+    for text in [
+        format!("fn on_request(r) {{ {} }}", line.repeat(4000)),
+        format!("fn on_request(r) {{ {repeated} }}"),
+    ] {
+        let plugin = plugin(&text, &largest_limits(1));
+        assert!(plugin.is_switched_off.get(), "{} bytes", text.len());
+    }
 }
--- a/src/resources/memory.rs
+++ b/src/resources/memory.rs
@@ -3,7 +3,7 @@
 //! Whoever holds bytes for a peer reserves them first, by the capacity of the buffer that holds them, and nothing is
 //! read for which there is no room: the sender is then subject to backpressure. The budget counts request and response
 //! bodies, long heads and pipelined requests, and for each request in progress and each connection to a node a fixed
-//! amount that covers the buffers of the HTTP library. Connections without a request are covered by the part of the
+//! amount that covers the buffers of the HTTP library; what the plug-in holds is counted as it grows. Connections without a request are covered by the part of the
 //! memory that the budget leaves free ([`MemoryPlan`]).
 
 mod body_buffer;
@@ -50,6 +50,8 @@
     exchange_bytes: AtomicUsize,
     /// Bytes reserved for connections of the HTTP/2 frontend.
     http2_bytes: AtomicUsize,
+    /// Bytes that the plug-in holds.
+    plugin_bytes: AtomicUsize,
     /// Whether the overdraft is held by a reservation.
     is_overdrawn: AtomicBool,
     /// Notified when bytes are released.
@@ -66,7 +68,7 @@
     }
 
     fn total(&self) -> usize {
-        let counts = [&self.body_bytes, &self.exchange_bytes, &self.http2_bytes];
+        let counts = [&self.body_bytes, &self.exchange_bytes, &self.http2_bytes, &self.plugin_bytes];
         counts.iter().map(|bytes| bytes.load(Ordering::Relaxed)).sum()
     }
 
@@ -133,15 +135,17 @@
 pub struct ReservedMemory {
     /// Bytes of bodies, long heads and pipelined requests.
     pub body_bytes: usize,
-    /// Bytes of requests in progress, connections to nodes and connections of the HTTP/2 frontend.
+    /// Bytes of requests in progress, connections to nodes, connections of the HTTP/2 frontend and the plug-in.
     pub exchange_bytes: usize,
+    /// Bytes that the plug-in holds.
+    pub plugin_bytes: usize,
     /// Bytes that may be reserved in all.
     pub limit_bytes: usize,
 }
 
 impl fmt::Display for ReservedMemory {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let ReservedMemory { body_bytes, exchange_bytes, limit_bytes } = self;
+        let ReservedMemory { body_bytes, exchange_bytes, limit_bytes, .. } = self;
         write!(f, "bodies={body_bytes} exchanges={exchange_bytes} limit={limit_bytes}")
     }
 }
@@ -187,6 +191,14 @@
         self.share.set(share);
     }
 
+    /// Sets how many bytes the plug-in holds. They are taken from the memory for peers.
+    pub fn set_plugin_bytes(&self, bytes: usize) {
+        let before = self.in_use.plugin_bytes.swap(bytes, Ordering::Relaxed);
+        if bytes < before {
+            self.in_use.released.notify_one();
+        }
+    }
+
     /// Fraction of this process's limit that is in use; above 1 if more than the limit is.
     pub fn used_fraction(&self) -> f64 {
         self.in_use.total() as f64 / self.limit_bytes().max(1) as f64
@@ -202,10 +214,16 @@
         ReservedMemory {
             body_bytes: self.in_use.body_bytes.load(Ordering::Relaxed),
             exchange_bytes: self.in_use.total() - self.in_use.body_bytes.load(Ordering::Relaxed),
+            plugin_bytes: self.in_use.plugin_bytes.load(Ordering::Relaxed),
             limit_bytes: self.limit_bytes(),
         }
     }
 
+    /// The limit of all processes of the head together, in bytes.
+    pub fn head_limit_bytes(&self) -> usize {
+        self.limit.get()
+    }
+
     /// This process's share of the limit, in bytes.
     pub fn limit_bytes(&self) -> usize {
         (self.limit.get() as f64 * self.share.get()) as usize
--- a/src/resources/mod.rs
+++ b/src/resources/mod.rs
@@ -2,6 +2,7 @@
 //! them, the state of sockets, and when what they hold arrived.
 
 pub mod admission;
+pub mod allocations;
 pub mod arrivals;
 pub mod descriptors;
 pub mod listening_socket;
--- a/tests/scenarios_ops.rs
+++ b/tests/scenarios_ops.rs
@@ -109,6 +109,7 @@
 fn the_files_under_deploy_are_served_and_bad_ones_are_named() {
     use flaxgap::config::operators_file::OperatorsFile;
     use flaxgap::frontend::block::config::Target;
+    use flaxgap::resources::memory::MemoryBudget;
     use flaxgap::{config, plugin};
     let (settings, wire_settings) = config::read(SETTINGS.as_bytes()).expect("settings");
     let block = include_str!("../deploy/block.toml");
@@ -118,8 +119,9 @@
         ops.graphite.is_none() && ops.collectd.is_none() && ops.plugin.is_none(),
         "the exports and the plug-in are off by default"
     );
-    let bounds = plugin::PluginConfig { script: "deploy/plugin.rhai".into(), max_steps: 2000, max_size: 256 };
-    plugin::Plugin::load(&bounds, Default::default()).expect("compiles");
+    let script = "deploy/plugin.rhai".into();
+    let bounds = plugin::PluginConfig { script, max_steps: 2000, max_size: 256, max_memory_mb: 4 };
+    plugin::Plugin::load(&bounds, Default::default(), MemoryBudget::new(32)).expect("compiles");
     let bad = [
         ("block_size = 512", "block_size = 500"),
         ("unit_bytes = 8192", "unit_bytes = 1"),
