A client that had stopped reading and reads again has all of its time

Cause: once the wait for a client has run out it stayed so, so that over HTTP/2 a later stream of the connection could be reset for what its client had not read before.

Change: bytes acknowledged after the time has run out begin the wait anew. Also, the plug-in's memory count is no longer called a measurement: CallUsage::count_memory and exclude_memory.

The 20 tests of plugin and send_stall and the 8 of tests/slow_readers.rs passed.

--- a/src/action_rules/send_stall.rs
+++ b/src/action_rules/send_stall.rs
@@ -54,7 +54,8 @@
     }
 
     /// Takes into account how many bytes the peer has acknowledged on the connection; `None` if the system does not tell,
-    /// at this moment or at all. Returns whether the peer has stopped reading.
+    /// at this moment or at all. Returns whether the peer has stopped reading. The wait begins anew for one that had stopped
+    /// and reads again.
     pub fn look(&mut self, now: Instant, acknowledged_bytes: Option<u64>) -> bool {
         self.looked_at = now;
         let unsettled = now.saturating_duration_since(self.settled_at);
@@ -68,8 +69,12 @@
         if progress > 0 {
             self.progress_at = Some(now);
         }
+        let has_resumed = progress > 0 && self.remaining.is_zero();
         let earned = Duration::from_secs_f64(progress as f64 / MIN_READ_RATE);
-        self.remaining = (self.remaining + earned).saturating_sub(unsettled).min(self.timeout);
+        self.remaining = match has_resumed {
+            true => self.timeout,
+            false => (self.remaining + earned).saturating_sub(unsettled).min(self.timeout),
+        };
         self.settled_at = now;
         self.remaining.is_zero()
     }
--- a/src/action_rules/send_stall/tests.rs
+++ b/src/action_rules/send_stall/tests.rs
@@ -66,3 +66,15 @@
     assert!(unknown >= TIMEOUT + UNKNOWN_PROGRESS_TIME, "{unknown:?}");
     assert!(unknown <= TIMEOUT + UNKNOWN_PROGRESS_TIME + LOOK_INTERVAL, "{unknown:?}");
 }
+
+/// Guards against streams of HTTP/2 that are reset for what their client did not read before them.
+#[test]
+fn a_peer_that_had_stopped_and_reads_again_has_all_of_the_time() {
+    let began_at = Instant::now();
+    let mut stall = SendStall::new(TIMEOUT, began_at);
+    assert!(!stall.look(began_at + LOOK_INTERVAL, Some(7)));
+    assert!(stall.look(began_at + TIMEOUT, Some(7)));
+    assert!(stall.look(began_at + TIMEOUT * 2, Some(7)), "it still does not read");
+    assert!(!stall.look(began_at + TIMEOUT * 3, Some(8)));
+    assert_eq!(stall.stops_at(), began_at + TIMEOUT * 4);
+}
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -123,7 +123,7 @@
     }
     engine.compile(text)?;
     disable_symbols(engine);
-    let script = match usage.measure(|| engine.compile(text)) {
+    let script = match usage.count_memory(|| engine.compile(text)) {
         Ok(script) => script,
         Err(error) => return Ok(Err(Refusal::DisabledSymbol(error))),
     };
@@ -251,8 +251,9 @@
             return;
         }
         self.usage.begin();
-        // The argument is freed by the call, so it is allocated within the measurement.
-        let result = catch_unwind(AssertUnwindSafe(|| self.usage.measure(|| self.run(hook, argument()))));
+        // The argument is freed by the call, so it is allocated within the count.
+        let result =
+            catch_unwind(AssertUnwindSafe(|| self.usage.count_memory(|| self.run(hook, argument()))));
         let time = self.usage.processor_time();
         match result {
             Ok(Ok(())) if time > MAX_CALL_TIME => self.record_failure(hook, &CallError::Slow(time)),
@@ -281,9 +282,9 @@
             self.engine.call_fn_with_options::<Dynamic>(options, scope, &self.script, hook.name, (argument,));
         match called {
             Ok(_) => Ok(()),
-            // The error may hold values of the script, which are freed here, within the measurement.
+            // The error may hold values of the script, which are freed here, within the count.
             Err(error) => {
-                let message = self.usage.exclude(|| truncated(&error.to_string()));
+                let message = self.usage.exclude_memory(|| truncated(&error.to_string()));
                 Err(ScriptError { message })
             }
         }
@@ -301,7 +302,7 @@
     fn switch_off(&self, reason: &str) {
         if !self.is_switched_off.replace(true) {
             log::error!("plug-in: switched off: {reason}");
-            self.usage.measure(|| drop(self.state.replace(Dynamic::UNIT)));
+            self.usage.count_memory(|| drop(self.state.replace(Dynamic::UNIT)));
         }
     }
 }
--- a/src/plugin/call_usage.rs
+++ b/src/plugin/call_usage.rs
@@ -31,9 +31,9 @@
     lines: Cell<u32>,
     /// Bytes that the script may hold: its syntax tree, the state that it keeps and the values of a call.
     max_bytes: usize,
-    /// Bytes that the script held before the measurement in progress.
+    /// Bytes that the script held before the count in progress began.
     held_before: Cell<isize>,
-    /// Bytes that the thread had allocated when the measurement in progress began.
+    /// Bytes that the thread had allocated when the count in progress began.
     thread_bytes_before: Cell<isize>,
     /// Whether the script has held more than `max_bytes` at any moment at which that was checked.
     is_memory_exceeded: Cell<bool>,
@@ -97,38 +97,38 @@
 /// The memory of the script.
 impl CallUsage {
     /// Runs `work`, whose allocations and releases are those of the script.
-    pub(super) fn measure<O>(&self, work: impl FnOnce() -> O) -> O {
+    pub(super) fn count_memory<O>(&self, work: impl FnOnce() -> O) -> O {
         self.thread_bytes_before.set(thread_bytes());
         let output = work();
-        self.held_before.set(self.held_before.get() + self.measured_bytes());
+        self.held_before.set(self.held_before.get() + self.counted_bytes());
         self.thread_bytes_before.set(thread_bytes());
         output
     }
 
-    /// Runs a part of measured work whose allocations are not the script's.
-    pub(super) fn exclude<O>(&self, work: impl FnOnce() -> O) -> O {
+    /// Runs a part of counted work whose allocations are not the script's.
+    pub(super) fn exclude_memory<O>(&self, work: impl FnOnce() -> O) -> O {
         let before = thread_bytes();
         let output = work();
         self.thread_bytes_before.set(self.thread_bytes_before.get() + thread_bytes() - before);
         output
     }
 
-    /// Bytes allocated and not freed since the measurement in progress began.
-    fn measured_bytes(&self) -> isize {
+    /// Bytes allocated and not freed since the count in progress began.
+    fn counted_bytes(&self) -> isize {
         thread_bytes() - self.thread_bytes_before.get()
     }
 
-    /// Bytes that the script holds, during a measurement.
+    /// Bytes that the script holds, during a count.
     fn held_bytes(&self) -> usize {
-        usize::try_from(self.held_before.get() + self.measured_bytes()).unwrap_or(0)
+        usize::try_from(self.held_before.get() + self.counted_bytes()).unwrap_or(0)
     }
 
-    /// Bytes that the script held at the end of the last measurement.
+    /// Bytes that the script held at the end of the last count.
     pub(super) fn kept_bytes(&self) -> usize {
         usize::try_from(self.held_before.get()).unwrap_or(0)
     }
 
-    /// Whether the script has held more than it may, at the end of the last measurement or at a check before.
+    /// Whether the script has held more than it may, at the end of the last count or at a check before.
     pub(super) fn is_memory_exceeded(&self) -> bool {
         self.is_memory_exceeded.get() || self.kept_bytes() > self.max_bytes
     }
--- a/src/plugin/engine.rs
+++ b/src/plugin/engine.rs
@@ -60,13 +60,13 @@
     let call = usage.clone();
     engine.on_print(move |text| {
         if call.count_line() {
-            call.exclude(|| log::info!("plug-in: {}", truncated(text)));
+            call.exclude_memory(|| log::info!("plug-in: {}", truncated(text)));
         }
     });
     let call = usage.clone();
     engine.on_debug(move |text, _, _| {
         if call.count_line() {
-            call.exclude(|| log::debug!("plug-in: {}", truncated(text)));
+            call.exclude_memory(|| log::debug!("plug-in: {}", truncated(text)));
         }
     });
     engine
